--- /dev/null
+++ b/crates/base/src/rank.rs
@@ -0,0 +1,29 @@
+//! Rendezvous hashing, by which nodes assign roles without talking to each other.
+
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Hashes a key; the value is the same on every node and in every version of limpetwick.
+pub fn hash_key(key: &str) -> u64 {
+    xxh3_64(key.as_bytes())
+}
+
+/// Orders candidates for a key by rendezvous hashing, best first.
+///
+/// When a candidate leaves, only the keys that ranked it first move, and they spread over the rest.
+pub fn rank_candidates<'a, T: AsRef<str>>(
+    key: &str,
+    candidates: impl Iterator<Item = &'a T>,
+) -> Vec<&'a T> {
+    let seed = hash_key(key);
+    let mut ranked: Vec<(u64, &T)> = candidates
+        .map(|candidate| {
+            (
+                xxh3_64_with_seed(candidate.as_ref().as_bytes(), seed),
+                candidate,
+            )
+        })
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.as_ref().cmp(b.1.as_ref())));
+    ranked.into_iter().map(|(_, candidate)| candidate).collect()
+}
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,1 @@
+//! The configuration in force on a node, and the rules of publishing a new one.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The asynchronous runtime of an entry VM.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for upstreams and the platform, load generation and experiments.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits: connections, concurrency, admission, retry and hedge budgets.
--- /dev/null
+++ b/crates/limpetwick/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the limpetwick query tier.
+
+fn main() {}
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims for requests that run at most once.
--- /dev/null
+++ b/crates/query/src/plan.rs
@@ -0,0 +1,48 @@
+//! What a query is asked to do, fixed when it is accepted.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::IndexName;
+use base::QueryId;
+use base::RequestName;
+use base::Revision;
+use base::ServiceName;
+use decl::AtDeadline;
+use decl::ShardSet;
+
+/// The fixed inputs of one query.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Identifies the query.
+    pub id: QueryId,
+    /// Service that declared the request.
+    pub service: ServiceName,
+    /// Kind of request.
+    pub request: RequestName,
+    /// Index to read.
+    pub index: IndexName,
+    /// Shards to cover.
+    pub shards: ShardSet,
+    /// Whether the request is declared repeatable.
+    pub repeatable: bool,
+    /// Moment at which the caller stops waiting.
+    pub deadline: Instant,
+    /// Rules from the declaration.
+    pub policy: Policy,
+    /// Configuration revision that the query is bound to.
+    pub revision: Revision,
+    /// Time since the revision was confirmed, when that exceeds the bound of `conf`.
+    pub stale: Option<Duration>,
+}
+
+/// Rules of a service for its queries.
+#[derive(Debug, Clone, Copy)]
+pub struct Policy {
+    /// What happens at the deadline.
+    pub at_deadline: AtDeadline,
+    /// Hedges as a fraction of primary sub-requests.
+    pub hedge_budget: f64,
+    /// Retries as a fraction of primary sub-requests.
+    pub retry_budget: f64,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between entry VMs, generated from proto/peer.proto.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Development tasks.
+
+fn main() {}
