Add the platform client and a stand-in of the object API

Cause: the runtime needs the object API of the design page, and tests need a platform that can be down, be slow, or lose replies.

Change: store has the asynchronous client with conditional updates, watches and the list of VMs. An update whose reply is lost is reported as unknown, and an update that was never sent as refused. lab::platform serves the object API in memory with dropshot, with faults on request and a list of VMs that lags.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for upstreams and the platform, load generation and experiments.
+
+pub mod platform;
--- /dev/null
+++ b/crates/lab/src/platform.rs
@@ -0,0 +1,515 @@
+//! Stand-in of the platform: the object API of `docs/design.md` in memory, with faults on request.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Vm;
+use bytes::Bytes;
+use dropshot::ApiDescription;
+use dropshot::Body;
+use dropshot::ConfigDropshot;
+use dropshot::HandlerTaskMode;
+use dropshot::HttpError;
+use dropshot::HttpServer;
+use dropshot::Path;
+use dropshot::Query;
+use dropshot::RequestContext;
+use dropshot::ServerBuilder;
+use dropshot::UntypedBody;
+use dropshot::endpoint;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Frame;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use snafu::Snafu;
+use tokio::sync::watch;
+
+/// Largest value that the platform accepts.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Longest wait of a watch; longer requests are shortened to it.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// The stand-in cannot be started or stopped.
+#[derive(Debug, Snafu)]
+#[snafu(display("lab: the platform stand-in failed: {reason}"))]
+pub struct PlatformError {
+    reason: String,
+}
+
+/// What happens to the calls of the object API and the list of VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultMode {
+    /// Calls work.
+    None,
+    /// Calls are answered with status 503 and have no effect.
+    Down,
+    /// Calls wait before they are processed.
+    Slow,
+    /// Updates take effect, and the connection breaks before the reply.
+    LoseReplies,
+}
+
+/// Body of `POST /control/fault`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Fault {
+    /// What happens.
+    pub mode: FaultMode,
+    /// Number of calls that it happens to; absent means until the next fault is set.
+    #[serde(default)]
+    pub times: Option<u64>,
+    /// Waiting time of slow calls, in milliseconds.
+    #[serde(default)]
+    pub delay_ms: u64,
+}
+
+impl Fault {
+    /// Calls work.
+    pub const NONE: Fault = Fault {
+        mode: FaultMode::None,
+        times: None,
+        delay_ms: 0,
+    };
+}
+
+/// Body of `POST /control/lag`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Lag {
+    /// Age of the list of VMs that `GET /vms` returns, in milliseconds.
+    pub lag_ms: u64,
+}
+
+/// A running stand-in of the platform.
+pub struct Platform {
+    server: HttpServer<Service>,
+}
+
+impl std::fmt::Debug for Platform {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Platform")
+            .field("addr", &self.addr())
+            .finish()
+    }
+}
+
+impl Platform {
+    /// Returns the address that the stand-in listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// Sets what happens to the next calls, as `POST /control/fault` does.
+    pub fn set_fault(&self, fault: Fault) {
+        self.server.app_private().set_fault(fault);
+    }
+
+    /// Adds a VM to the list or replaces it, as `PUT /vms/{id}` does.
+    pub fn put_vm(&self, vm: Vm) {
+        self.server.app_private().put_vm(vm);
+    }
+
+    /// Stops the stand-in: waiting watches are answered, and later calls find no listener.
+    pub async fn close(self) -> Result<(), PlatformError> {
+        let private = self.server.app_private();
+        private.head.send_modify(|head| head.closing = true);
+        self.server
+            .close()
+            .await
+            .map_err(|reason| PlatformError { reason })
+    }
+}
+
+/// Starts a stand-in of the platform; port zero takes a free port.
+///
+/// `lag` is the age of the list of VMs that `GET /vms` returns.
+pub async fn serve_platform(addr: SocketAddr, lag: Duration) -> Result<Platform, PlatformError> {
+    let api = describe_api().map_err(|error| PlatformError {
+        reason: error.to_string(),
+    })?;
+    let service = Service {
+        state: Mutex::new(State::new(lag)),
+        head: watch::Sender::new(Head::default()),
+    };
+    let config = ConfigDropshot {
+        bind_address: addr,
+        default_request_body_max_bytes: MAX_VALUE_BYTES,
+        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+        ..ConfigDropshot::default()
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let server = ServerBuilder::new(api, service, log)
+        .config(config)
+        .start()
+        .map_err(|error| PlatformError {
+            reason: error.to_string(),
+        })?;
+    Ok(Platform { server })
+}
+
+fn describe_api() -> Result<ApiDescription<Service>, dropshot::ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(get_object)?;
+    api.register(put_object)?;
+    api.register(watch_objects)?;
+    api.register(list_vms)?;
+    api.register(put_vm)?;
+    api.register(delete_vm)?;
+    api.register(set_fault)?;
+    api.register(set_lag)?;
+    Ok(api)
+}
+
+#[derive(Debug)]
+struct Service {
+    state: Mutex<State>,
+    head: watch::Sender<Head>,
+}
+
+/// What waiting watches observe.
+#[derive(Debug, Default)]
+struct Head {
+    version: u64,
+    closing: bool,
+}
+
+#[derive(Debug)]
+struct Object {
+    version: u64,
+    value: Box<RawValue>,
+}
+
+#[derive(Debug)]
+struct State {
+    version: u64,
+    objects: BTreeMap<(String, String), Object>,
+    vms: BTreeMap<String, Vm>,
+    // Lists of VMs with the time at which each became current, oldest first, so that a read can lag.
+    history: Vec<(Instant, Vec<Vm>)>,
+    lag: Duration,
+    fault: Fault,
+}
+
+impl State {
+    fn new(lag: Duration) -> State {
+        State {
+            version: 0,
+            objects: BTreeMap::new(),
+            vms: BTreeMap::new(),
+            history: Vec::new(),
+            lag,
+            fault: Fault::NONE,
+        }
+    }
+
+    /// Returns the fault of the next call and counts it; lost replies concern updates only.
+    fn draw_fault(&mut self, update: bool) -> Fault {
+        let fault = self.fault;
+        if fault.mode == FaultMode::LoseReplies && !update {
+            return Fault::NONE;
+        }
+        if let Some(times) = &mut self.fault.times {
+            *times = times.saturating_sub(1);
+            if *times == 0 {
+                self.fault = Fault::NONE;
+            }
+        }
+        fault
+    }
+
+    fn record_vms(&mut self, now: Instant) {
+        self.history
+            .push((now, self.vms.values().cloned().collect()));
+    }
+
+    fn lagging_vms(&mut self, now: Instant) -> Vec<Vm> {
+        let visible = |at: &Instant| now.saturating_duration_since(*at) >= self.lag;
+        let passed = self.history.iter().filter(|(at, _)| visible(at)).count();
+        match passed {
+            0 => Vec::new(),
+            passed => {
+                self.history.drain(..passed - 1);
+                self.history[0].1.clone()
+            }
+        }
+    }
+}
+
+impl Service {
+    fn set_fault(&self, fault: Fault) {
+        let none = fault.times == Some(0);
+        self.state().fault = if none { Fault::NONE } else { fault };
+    }
+
+    fn put_vm(&self, vm: Vm) {
+        let mut state = self.state();
+        state.vms.insert(vm.id.to_string(), vm);
+        state.record_vms(Instant::now());
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets the fault in force happen; an error is the reply of a call that fails by it.
+    async fn pass_fault(&self, update: bool) -> Result<Fault, Response<Body>> {
+        let fault = self.state().draw_fault(update);
+        match fault.mode {
+            FaultMode::Down => return Err(reply_json(503, &"the platform is down")),
+            FaultMode::Slow => tokio::time::sleep(Duration::from_millis(fault.delay_ms)).await,
+            FaultMode::None | FaultMode::LoseReplies => {}
+        }
+        Ok(fault)
+    }
+
+    fn put(&self, key: (String, String), if_version: u64, value: Box<RawValue>) -> Response<Body> {
+        let mut state = self.state();
+        let held = state.objects.get(&key).map_or(0, |object| object.version);
+        if held != if_version {
+            return reply_json(409, &VersionReply { version: held });
+        }
+        state.version += 1;
+        let version = state.version;
+        state.objects.insert(key, Object { version, value });
+        drop(state);
+        self.head
+            .send_modify(|head| head.version = head.version.max(version));
+        reply_json(200, &VersionReply { version })
+    }
+
+    fn changes(&self, kind: &str, after: u64) -> (bool, Response<Body>) {
+        let state = self.state();
+        let objects: Vec<ObjectReply<'_>> = state
+            .objects
+            .iter()
+            .filter(|((held, _), object)| held == kind && object.version > after)
+            .map(|((_, name), object)| ObjectReply {
+                name,
+                version: object.version,
+                value: &object.value,
+            })
+            .collect();
+        let version = state.version;
+        let changed = !objects.is_empty();
+        (changed, reply_json(200, &ChangesReply { version, objects }))
+    }
+}
+
+#[derive(Serialize)]
+struct VersionReply {
+    version: u64,
+}
+
+#[derive(Serialize)]
+struct ValueReply<'a> {
+    version: u64,
+    value: &'a RawValue,
+}
+
+#[derive(Serialize)]
+struct ObjectReply<'a> {
+    name: &'a str,
+    version: u64,
+    value: &'a RawValue,
+}
+
+#[derive(Serialize)]
+struct ChangesReply<'a> {
+    version: u64,
+    objects: Vec<ObjectReply<'a>>,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct ObjectPath {
+    kind: String,
+    name: String,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct KindPath {
+    kind: String,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct VmPath {
+    id: String,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct PutQuery {
+    if_version: u64,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct WatchQuery {
+    #[serde(default)]
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+type Reply = Result<Response<Body>, HttpError>;
+
+#[endpoint { method = GET, path = "/objects/{kind}/{name}" }]
+async fn get_object(context: RequestContext<Service>, path: Path<ObjectPath>) -> Reply {
+    let service = context.context();
+    if let Err(failed) = service.pass_fault(false).await {
+        return Ok(failed);
+    }
+    let path = path.into_inner();
+    let state = service.state();
+    Ok(match state.objects.get(&(path.kind, path.name)) {
+        Some(object) => reply_json(
+            200,
+            &ValueReply {
+                version: object.version,
+                value: &object.value,
+            },
+        ),
+        None => reply_json(404, &"there is no such object"),
+    })
+}
+
+#[endpoint { method = PUT, path = "/objects/{kind}/{name}" }]
+async fn put_object(
+    context: RequestContext<Service>,
+    path: Path<ObjectPath>,
+    query: Query<PutQuery>,
+    body: UntypedBody,
+) -> Reply {
+    let service = context.context();
+    let fault = match service.pass_fault(true).await {
+        Ok(fault) => fault,
+        Err(failed) => return Ok(failed),
+    };
+    let path = path.into_inner();
+    let value = parse_json(body.as_bytes())?;
+    let reply = service.put((path.kind, path.name), query.into_inner().if_version, value);
+    if fault.mode == FaultMode::LoseReplies {
+        return Ok(break_connection());
+    }
+    Ok(reply)
+}
+
+#[endpoint { method = GET, path = "/objects/{kind}" }]
+async fn watch_objects(
+    context: RequestContext<Service>,
+    path: Path<KindPath>,
+    query: Query<WatchQuery>,
+) -> Reply {
+    let service = context.context();
+    if let Err(failed) = service.pass_fault(false).await {
+        return Ok(failed);
+    }
+    let kind = path.into_inner().kind;
+    let query = query.into_inner();
+    let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+    let end = tokio::time::Instant::now() + wait;
+    let mut head = service.head.subscribe();
+    loop {
+        let closing = head.borrow_and_update().closing;
+        let (changed, reply) = service.changes(&kind, query.after);
+        if changed || closing {
+            return Ok(reply);
+        }
+        if tokio::time::timeout_at(end, head.changed()).await.is_err() {
+            return Ok(reply);
+        }
+    }
+}
+
+#[endpoint { method = GET, path = "/vms" }]
+async fn list_vms(context: RequestContext<Service>) -> Reply {
+    let service = context.context();
+    if let Err(failed) = service.pass_fault(false).await {
+        return Ok(failed);
+    }
+    Ok(reply_json(
+        200,
+        &service.state().lagging_vms(Instant::now()),
+    ))
+}
+
+#[endpoint { method = PUT, path = "/vms/{id}" }]
+async fn put_vm(context: RequestContext<Service>, path: Path<VmPath>, body: UntypedBody) -> Reply {
+    let vm: Vm = parse_json(body.as_bytes())?;
+    let id = path.into_inner().id;
+    if vm.id != id {
+        let reason = format!("the body names VM {} instead of {id}", vm.id);
+        return Err(HttpError::for_bad_request(None, reason));
+    }
+    context.context().put_vm(vm);
+    Ok(reply_json(200, &()))
+}
+
+#[endpoint { method = DELETE, path = "/vms/{id}" }]
+async fn delete_vm(context: RequestContext<Service>, path: Path<VmPath>) -> Reply {
+    let mut state = context.context().state();
+    state.vms.remove(&path.into_inner().id);
+    state.record_vms(Instant::now());
+    Ok(reply_json(200, &()))
+}
+
+#[endpoint { method = POST, path = "/control/fault" }]
+async fn set_fault(context: RequestContext<Service>, body: dropshot::TypedBody<Fault>) -> Reply {
+    context.context().set_fault(body.into_inner());
+    Ok(reply_json(200, &()))
+}
+
+#[endpoint { method = POST, path = "/control/lag" }]
+async fn set_lag(context: RequestContext<Service>, body: dropshot::TypedBody<Lag>) -> Reply {
+    context.context().state().lag = Duration::from_millis(body.into_inner().lag_ms);
+    Ok(reply_json(200, &()))
+}
+
+fn parse_json<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, HttpError> {
+    serde_json::from_slice(body).map_err(|error| {
+        HttpError::for_bad_request(None, format!("the body is not valid: {error}"))
+    })
+}
+
+fn reply_json(status: u16, value: &impl Serialize) -> Response<Body> {
+    let (status, body) = match serde_json::to_vec(value) {
+        Ok(body) => (StatusCode::from_u16(status), body),
+        Err(error) => (StatusCode::from_u16(500), error.to_string().into_bytes()),
+    };
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let kind = http::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Returns a reply whose body fails, which makes the server break the connection.
+fn break_connection() -> Response<Body> {
+    Response::new(Body::wrap(BrokenBody))
+}
+
+struct BrokenBody;
+
+impl hyper::body::Body for BrokenBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())))
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/platform.rs
@@ -0,0 +1,85 @@
+//! The client of the object API against the stand-in, over loopback.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lab::platform::Fault;
+use lab::platform::FaultMode;
+use lab::platform::Platform;
+use lab::platform::serve_platform;
+use store::Client;
+use store::ClientOptions;
+use store::Put;
+use store::StoreError;
+
+/// Long enough that a test which waits so long has failed.
+const WAIT: Duration = Duration::from_secs(30);
+
+async fn start() -> (Platform, Client) {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let platform = serve_platform(addr, Duration::ZERO).await.unwrap();
+    let mut options = ClientOptions::new(platform.addr(), 7);
+    options.timeout = WAIT;
+    let client = Client::new(options);
+    (platform, client)
+}
+
+/// Guards against a conditional update that overwrites a newer version, and against a wrong version in the conflict.
+#[tokio::test]
+async fn test_update_with_old_version_conflicts() {
+    let (platform, client) = start().await;
+    assert_eq!(client.get::<u32>("config", "a").await, Ok(None));
+    assert_eq!(client.put_if("config", "a", 0, &1).await, Put::Applied(1));
+    assert_eq!(client.put_if("config", "a", 0, &2).await, Put::Conflict(1));
+    assert_eq!(client.put_if("config", "b", 0, &3).await, Put::Applied(2));
+    assert_eq!(client.put_if("config", "a", 1, &4).await, Put::Applied(3));
+    let stored = client.get::<u32>("config", "a").await.unwrap().unwrap();
+    assert_eq!((stored.version, stored.value), (3, 4));
+    platform.close().await.unwrap();
+}
+
+/// Guards against a lost reply that is reported as refused although the write took effect.
+#[tokio::test]
+async fn test_lost_reply_is_unknown_and_read_back() {
+    let (platform, client) = start().await;
+    platform.set_fault(Fault {
+        mode: FaultMode::LoseReplies,
+        times: Some(1),
+        delay_ms: 0,
+    });
+    let put = client.put_if("ledger", "0", 0, &"claim").await;
+    assert!(matches!(put, Put::Unknown(StoreError::Lost { .. })));
+    let stored = client.get::<String>("ledger", "0").await.unwrap().unwrap();
+    assert_eq!((stored.version, stored.value.as_str()), (1, "claim"));
+    platform.close().await.unwrap();
+}
+
+/// Guards against a watch that misses a change made while it waits, or that returns objects of other kinds.
+#[tokio::test]
+async fn test_watch_returns_changes_of_its_kind() {
+    let (platform, client) = start().await;
+    client.put_if("config", "a", 0, &1).await;
+    let watch = client.watch::<u32>("config", 1, WAIT);
+    let write = async {
+        client.put_if("ledger", "0", 0, &2).await;
+        client.put_if("config", "a", 1, &3).await;
+    };
+    let (changes, ()) = tokio::join!(watch, write);
+    let changes = changes.unwrap();
+    assert_eq!(changes.version, 3);
+    let names: Vec<&str> = changes.objects.iter().map(|o| o.name.as_str()).collect();
+    assert_eq!(names, ["a"]);
+    platform.close().await.unwrap();
+}
+
+/// Guards against a client that keeps calling a platform that is down, or that reports its refusals as unknown.
+#[tokio::test]
+async fn test_closed_platform_gives_refused_updates() {
+    let (platform, client) = start().await;
+    platform.close().await.unwrap();
+    for _ in 0..5 {
+        let put = client.put_if("config", "a", 1, &2).await;
+        assert!(matches!(put, Put::Refused(_)), "{put:?}");
+    }
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,367 @@
+//! The asynchronous client of the object API.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Vm;
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Governor;
+use crate::GovernorOptions;
+use crate::StoreError;
+use crate::Ticket;
+
+/// Version of an object; all objects of the platform share one increasing sequence.
+pub type Version = u64;
+
+/// Largest reply that is read: a watch may return all 64 ledger objects of up to 512 KB at once.
+const MAX_REPLY_BYTES: usize = 64 << 20;
+
+/// Idle connections that are kept for further calls; a node makes few calls at the same time.
+const MAX_IDLE: usize = 4;
+
+/// An object as the platform holds it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Stored<T> {
+    /// Version that the next conditional update must name.
+    pub version: Version,
+    /// The value.
+    pub value: T,
+}
+
+/// An object that a watch returned.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Changed<T> {
+    /// Name of the object in its kind.
+    pub name: CompactString,
+    /// Version of the object.
+    pub version: Version,
+    /// The value.
+    pub value: T,
+}
+
+/// Result of a watch.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Changes<T> {
+    /// Version up to which the changes are complete; the next watch passes it as `after`.
+    pub version: Version,
+    /// Objects that changed, empty when the wait ended first.
+    pub objects: Vec<Changed<T>>,
+}
+
+/// Result of a conditional update.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Put {
+    /// The update took effect and the object has this version.
+    Applied(Version),
+    /// The object has this version instead of the expected one, and the update did not and will not take effect.
+    Conflict(Version),
+    /// The update was not sent, or the platform proved that it did not process it.
+    Refused(StoreError),
+    /// The update may have taken effect, or may still; reading back settles it.
+    Unknown(StoreError),
+}
+
+/// Settings of a client.
+#[derive(Debug, Clone)]
+pub struct ClientOptions {
+    /// Address of the platform's object API.
+    pub platform: SocketAddr,
+    /// Time after which a call without a reply is given up; a watch has its waiting time in addition.
+    pub timeout: Duration,
+    /// Limits of the calls.
+    pub governor: GovernorOptions,
+    /// Seed of the jitter, which should differ between VMs.
+    pub seed: u64,
+}
+
+impl ClientOptions {
+    /// Creates settings with the default limits.
+    pub fn new(platform: SocketAddr, seed: u64) -> ClientOptions {
+        ClientOptions {
+            platform,
+            timeout: Duration::from_secs(2),
+            governor: GovernorOptions::default(),
+            seed,
+        }
+    }
+}
+
+/// Client of the platform's object API; clones share connections and the governor.
+#[derive(Debug, Clone)]
+pub struct Client {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+    platform: SocketAddr,
+    timeout: Duration,
+    governor: Mutex<(Governor, Pcg64)>,
+}
+
+/// A reply with any status, read to its end.
+struct Reply {
+    status: StatusCode,
+    body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct VersionOnly {
+    version: Version,
+}
+
+impl Client {
+    /// Creates a client; no connection is opened before the first call.
+    pub fn new(options: ClientOptions) -> Client {
+        let governor = Governor::new(options.governor, Instant::now());
+        let http = HttpClient::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(MAX_IDLE)
+            .build_http();
+        Client {
+            shared: Arc::new(Shared {
+                http,
+                platform: options.platform,
+                timeout: options.timeout,
+                governor: Mutex::new((governor, Pcg64::seed_from_u64(options.seed))),
+            }),
+        }
+    }
+
+    /// Reads an object; `None` means that the platform has no such object.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        name: &str,
+    ) -> Result<Option<Stored<T>>, StoreError> {
+        let ticket = self.admit()?;
+        let path = format!("/objects/{kind}/{name}");
+        let timeout = self.shared.timeout;
+        let reply = self
+            .call(ticket, Method::GET, &path, Bytes::new(), timeout)
+            .await?;
+        if reply.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        parse_body(&expect_ok(reply)?).map(Some)
+    }
+
+    /// Writes an object if it still has the given version; version zero creates it.
+    ///
+    /// A lost reply gives [`Put::Unknown`], because the platform may have applied the update.
+    pub async fn put_if<T: Serialize>(
+        &self,
+        kind: &str,
+        name: &str,
+        if_version: Version,
+        value: &T,
+    ) -> Put {
+        let reply = match self.send_update(kind, name, if_version, value).await {
+            Ok(reply) => reply,
+            Err(error) if error.not_processed() => return Put::Refused(error),
+            Err(error) => return Put::Unknown(error),
+        };
+        let status = reply.status;
+        let version = parse_body::<VersionOnly>(&reply.body).map(|body| body.version);
+        match version {
+            Ok(version) if status.is_success() => Put::Applied(version),
+            Ok(version) if status == StatusCode::CONFLICT => Put::Conflict(version),
+            Ok(_) | Err(_) => match expect_ok(reply) {
+                Err(error) if error.not_processed() => Put::Refused(error),
+                Err(error) => Put::Unknown(error),
+                Ok(body) => Put::Unknown(StoreError::Invalid {
+                    reason: format!("the reply of {} bytes names no version", body.len()),
+                }),
+            },
+        }
+    }
+
+    /// Waits until objects of a kind change after a version, or until the waiting time ends.
+    ///
+    /// While the breaker tries the platform again the watch returns at once, so that its result is known early.
+    pub async fn watch<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Changes<T>, StoreError> {
+        let ticket = self.admit()?;
+        let wait = if ticket.is_trial() {
+            Duration::ZERO
+        } else {
+            wait
+        };
+        let path = format!("/objects/{kind}?after={after}&wait_ms={}", wait.as_millis());
+        let timeout = wait + self.shared.timeout;
+        let reply = self
+            .call(ticket, Method::GET, &path, Bytes::new(), timeout)
+            .await?;
+        parse_body(&expect_ok(reply)?)
+    }
+
+    /// Reads the platform's list of VMs, which lags.
+    pub async fn list_vms(&self) -> Result<Vec<Vm>, StoreError> {
+        let ticket = self.admit()?;
+        let timeout = self.shared.timeout;
+        let reply = self
+            .call(ticket, Method::GET, "/vms", Bytes::new(), timeout)
+            .await?;
+        parse_body(&expect_ok(reply)?)
+    }
+
+    async fn send_update<T: Serialize>(
+        &self,
+        kind: &str,
+        name: &str,
+        if_version: Version,
+        value: &T,
+    ) -> Result<Reply, StoreError> {
+        let body = serde_json::to_vec(value).map_err(|error| StoreError::Unwritable {
+            reason: error.to_string(),
+        })?;
+        let ticket = self.admit()?;
+        let path = format!("/objects/{kind}/{name}?if_version={if_version}");
+        let timeout = self.shared.timeout;
+        self.call(ticket, Method::PUT, &path, body.into(), timeout)
+            .await
+    }
+
+    fn admit(&self) -> Result<Ticket, StoreError> {
+        let mut held = self
+            .shared
+            .governor
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        held.0
+            .admit(Instant::now())
+            .map_err(|denied| StoreError::Denied { denied })
+    }
+
+    fn settle(&self, ticket: Ticket, healthy: bool) -> Duration {
+        let mut held = self
+            .shared
+            .governor
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let (governor, rng) = &mut *held;
+        governor.settle(ticket, healthy, Instant::now(), rng)
+    }
+
+    async fn call(
+        &self,
+        ticket: Ticket,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Reply, StoreError> {
+        let exchange = self.exchange(method, path, body);
+        let result = match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(StoreError::Lost {
+                reason: format!("no reply within {} ms", timeout.as_millis()),
+                retry_after: Duration::ZERO,
+            }),
+        };
+        let healthy = result.as_ref().is_ok_and(|reply| is_healthy(reply.status));
+        let delay = self.settle(ticket, healthy);
+        match result {
+            Ok(reply) if healthy => Ok(reply),
+            Ok(reply) => Err(StoreError::Rejected {
+                status: reply.status.as_u16(),
+                retry_after: delay,
+            }),
+            Err(StoreError::Lost { reason, .. }) => Err(StoreError::Lost {
+                reason,
+                retry_after: delay,
+            }),
+            Err(StoreError::Unreachable { reason, .. }) => Err(StoreError::Unreachable {
+                reason,
+                retry_after: delay,
+            }),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Reply, StoreError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.shared.platform))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| StoreError::Unreachable {
+                reason: error.to_string(),
+                retry_after: Duration::ZERO,
+            })?;
+        let response = self.shared.http.request(request).await.map_err(|error| {
+            let reason = error.to_string();
+            let retry_after = Duration::ZERO;
+            if error.is_connect() {
+                StoreError::Unreachable {
+                    reason,
+                    retry_after,
+                }
+            } else {
+                StoreError::Lost {
+                    reason,
+                    retry_after,
+                }
+            }
+        })?;
+        let status = response.status();
+        let collected = Limited::new(response.into_body(), MAX_REPLY_BYTES)
+            .collect()
+            .await
+            .map_err(|error| StoreError::Lost {
+                reason: error.to_string(),
+                retry_after: Duration::ZERO,
+            })?;
+        Ok(Reply {
+            status,
+            body: collected.to_bytes(),
+        })
+    }
+}
+
+/// Tells whether a status shows that the platform works; a rate limit counts as a failure, so that callers back off.
+fn is_healthy(status: StatusCode) -> bool {
+    !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS
+}
+
+fn expect_ok(reply: Reply) -> Result<Bytes, StoreError> {
+    if reply.status.is_success() {
+        return Ok(reply.body);
+    }
+    Err(StoreError::Rejected {
+        status: reply.status.as_u16(),
+        retry_after: Duration::ZERO,
+    })
+}
+
+fn parse_body<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::Invalid {
+        reason: error.to_string(),
+    })
+}
