limit: add gates, budgets and the choice of replica

The query machine sends to a random replica without any limit, so a slow or draining upstream gets as much work as a healthy one.

A gate per upstream now holds the connection share, the concurrency limit moved by standing queues, the cold-start ramp, the drain flag, the pause after consecutive failures and a decaying histogram of reply times. Budgets hold hedge and retry tokens per service.

--- /dev/null
+++ b/crates/limit/src/gate.rs
@@ -0,0 +1,355 @@
+//! The gate in front of one upstream.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::IndexVersion;
+use base::UpstreamId;
+use base::UpstreamState;
+
+use crate::Tuning;
+use crate::latency::Latency;
+use crate::queueing::Queueing;
+
+/// Time over which a cold upstream is given its full concurrency.
+const RAMP: Duration = Duration::from_secs(5);
+
+/// Consecutive failures after which an upstream is paused.
+const FAILURES: u8 = 3;
+
+/// First pause after consecutive failures; each further failure doubles it.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause; bounds how late a recovered upstream is noticed.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Interval at which a share that was cut by a refused connection grows back by one.
+const REGROW: Duration = Duration::from_secs(5);
+
+/// Weight of a new reply time in the moving mean.
+const MEAN_WEIGHT: f32 = 0.2;
+
+/// Time without a reply after which the mean counts half, so that a slow upstream is tried again.
+const FORGET: Duration = Duration::from_secs(1);
+
+/// Where an upstream is, seen from this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the node's own availability zone.
+    Zone,
+    /// In another zone of the node's region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// Why no permit is available; ordered from a matter of milliseconds to permanent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Blocked {
+    /// The adaptive concurrency limit is reached.
+    Limit,
+    /// The connection share of this node is used up.
+    Share,
+    /// The upstream is paused after consecutive failures, or its single trial is under way.
+    Paused,
+    /// The upstream is draining.
+    Draining,
+    /// No such upstream is registered.
+    Unknown,
+}
+
+/// How an attempt ended, for [`crate::Limits::release`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// A reply came; its time counts.
+    Replied,
+    /// The upstream shed the request and proved that it was not run.
+    Shed,
+    /// The upstream rejected the request for a reason other than load, such as a retired version.
+    Rejected,
+    /// The connection was refused: evidence of the connection limit, not of a failed server.
+    Refused,
+    /// The connection failed or the reply was lost.
+    Failed,
+    /// This node gave up on the reply; the time until then is a lower bound of the reply time.
+    Cancelled,
+}
+
+/// State of one upstream on one node.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    pub(crate) id: UpstreamId,
+    pub(crate) distance: Distance,
+    full_share: Option<u16>,
+    share: u16,
+    share_cut: Option<Instant>,
+    in_flight: u16,
+    queueing: Queueing,
+    latency: Latency,
+    mean_us: f32,
+    last_reply: Option<Instant>,
+    ramp_start: Option<Instant>,
+    drained: Option<Instant>,
+    failures: u8,
+    paused: Option<Instant>,
+    trial: bool,
+    held: Option<Box<[IndexVersion]>>,
+}
+
+impl Gate {
+    pub(crate) fn new(id: UpstreamId, distance: Distance, slots: u32, share: Option<u32>) -> Gate {
+        let full_share = share.map(saturate);
+        Gate {
+            id,
+            distance,
+            full_share,
+            share: full_share.unwrap_or(u16::MAX),
+            share_cut: None,
+            in_flight: 0,
+            queueing: Queueing::new(saturate(slots)),
+            latency: Latency::new(),
+            mean_us: 0.0,
+            last_reply: None,
+            ramp_start: None,
+            drained: None,
+            failures: 0,
+            paused: None,
+            trial: false,
+            held: None,
+        }
+    }
+
+    /// Changes what the caller of `Limits` decides; what was learned from replies stays.
+    pub(crate) fn set_share(&mut self, share: Option<u32>) {
+        let full_share = share.map(saturate);
+        if full_share != self.full_share {
+            self.full_share = full_share;
+            self.share = full_share.unwrap_or(u16::MAX);
+            self.share_cut = None;
+        }
+    }
+
+    pub(crate) fn start_ramp(&mut self, now: Instant) {
+        self.ramp_start = Some(now);
+    }
+
+    /// Returns the identifier of the upstream.
+    pub fn id(&self) -> &UpstreamId {
+        &self.id
+    }
+
+    /// Returns the attempts that hold a permit.
+    pub fn in_flight(&self) -> u32 {
+        u32::from(self.in_flight)
+    }
+
+    /// Returns the connections that this node may use, or `None` when a holder connects in its place.
+    pub fn share(&self) -> Option<u32> {
+        self.full_share.map(|_| u32::from(self.share))
+    }
+
+    /// Returns the concurrency that queueing and the cold-start ramp allow at `now`.
+    pub fn concurrency(&self, tuning: &Tuning, now: Instant) -> u32 {
+        let limit = if tuning.adaptive {
+            self.queueing.limit()
+        } else {
+            u32::from(u16::MAX)
+        };
+        match self.ramp_start {
+            Some(start) if tuning.ramp => {
+                let full = limit.min(self.queueing.slots());
+                let done = now.saturating_duration_since(start).as_secs_f64() / RAMP.as_secs_f64();
+                if done >= 1.0 {
+                    limit
+                } else {
+                    ((f64::from(full) * done) as u32).max(1)
+                }
+            }
+            _ => limit,
+        }
+    }
+
+    /// Tells whether the upstream said that it is draining.
+    pub fn is_draining(&self) -> bool {
+        self.drained.is_some()
+    }
+
+    /// Tells whether the upstream is paused after consecutive failures at `now`.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused.is_some_and(|until| now < until)
+    }
+
+    /// Returns a quantile of the reply time, or `None` with too few replies.
+    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
+        self.latency.quantile(quantile)
+    }
+
+    /// Returns the index versions that the upstream last said it holds, or `None` before it said any.
+    pub fn held(&self) -> Option<&[IndexVersion]> {
+        self.held.as_deref()
+    }
+
+    pub(crate) fn learn_held(&mut self, held: &[IndexVersion]) {
+        if self.held.as_deref() != Some(held) {
+            self.held = Some(held.into());
+        }
+    }
+
+    pub(crate) fn check(&self, tuning: &Tuning, now: Instant) -> Result<(), Blocked> {
+        if tuning.drain && self.drained.is_some() {
+            return Err(Blocked::Draining);
+        }
+        if tuning.backoff && (self.is_paused(now) || (self.paused.is_some() && self.trial)) {
+            return Err(Blocked::Paused);
+        }
+        if self.full_share.is_none() {
+            return Ok(());
+        }
+        if tuning.share && self.in_flight >= self.share_at(now) {
+            return Err(Blocked::Share);
+        }
+        if self.in_flight() >= self.concurrency(tuning, now) {
+            return Err(Blocked::Limit);
+        }
+        Ok(())
+    }
+
+    /// Counts an attempt in; returns whether it is the single trial after a pause.
+    pub(crate) fn enter(&mut self, tuning: &Tuning, now: Instant) -> bool {
+        self.share = self.share_at(now);
+        if self.full_share == Some(self.share) {
+            self.share_cut = None;
+        } else if let Some(cut) = &mut self.share_cut {
+            let steps = now.saturating_duration_since(*cut).as_secs() / REGROW.as_secs();
+            *cut += REGROW * steps as u32;
+        }
+        self.in_flight = self.in_flight.saturating_add(1);
+        if self.in_flight() >= self.concurrency(tuning, now) {
+            self.queueing.note_reached();
+        }
+        let trial = tuning.backoff && self.paused.is_some();
+        self.trial |= trial;
+        trial
+    }
+
+    pub(crate) fn leave(&mut self, ending: Ending, sent: Instant, trial: bool, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if trial {
+            self.trial = false;
+        }
+        let time = now.saturating_duration_since(sent);
+        match ending {
+            Ending::Replied => {
+                self.recover();
+                self.latency.record(time);
+                self.note_mean(time, now);
+                self.queueing.observe(time);
+            }
+            Ending::Shed => {
+                self.recover();
+                self.queueing.shrink();
+            }
+            Ending::Rejected => self.recover(),
+            Ending::Refused => self.cut_share(now),
+            Ending::Failed => self.count_failure(now),
+            Ending::Cancelled => self.note_lower_bound(time, now),
+        }
+    }
+
+    /// Takes in the state that the upstream gave in a reply to a request sent at `sent`.
+    ///
+    /// A reply sent before the drain was seen may arrive after it and say `live`; it does not end the drain.
+    pub(crate) fn note_state(&mut self, state: UpstreamState, sent: Instant, now: Instant) {
+        match state {
+            UpstreamState::Draining => {
+                self.drained.get_or_insert(now);
+            }
+            UpstreamState::Live | UpstreamState::Cold => {
+                if self.drained.is_some_and(|since| sent <= since) {
+                    return;
+                }
+                self.drained = None;
+                if state == UpstreamState::Cold && self.ramp_start.is_none() {
+                    self.ramp_start = Some(now);
+                }
+                if state == UpstreamState::Live
+                    && self.ramp_start.is_some_and(|start| now >= start + RAMP)
+                {
+                    self.ramp_start = None;
+                }
+            }
+        }
+    }
+
+    /// Estimates the reply time of one more attempt, in microseconds.
+    pub(crate) fn expected_us(&self, tuning: &Tuning, now: Instant) -> f32 {
+        let in_flight = f32::from(self.in_flight);
+        let concurrency = self.concurrency(tuning, now).max(1) as f32;
+        self.decayed_mean(now) * (1.0 + in_flight / concurrency) + in_flight
+    }
+
+    /// Returns the moving mean of the reply time, halved for each [`FORGET`] without a reply.
+    pub(crate) fn decayed_mean(&self, now: Instant) -> f32 {
+        let Some(last) = self.last_reply else {
+            return 0.0;
+        };
+        let idle = now.saturating_duration_since(last).as_secs_f32() / FORGET.as_secs_f32();
+        self.mean_us * 0.5_f32.powf(idle)
+    }
+
+    fn note_mean(&mut self, time: Duration, now: Instant) {
+        let time_us = time.as_micros() as f32;
+        self.mean_us = match self.last_reply {
+            None => time_us,
+            Some(_) => self.mean_us + MEAN_WEIGHT * (time_us - self.mean_us),
+        };
+        self.last_reply = Some(now);
+    }
+
+    /// Counts an abandoned attempt as slow as it was when abandoned, if that is slower than usual.
+    ///
+    /// Without it, the slow replies that a hedge replaces would never reach the quantiles, which would drift down.
+    fn note_lower_bound(&mut self, time: Duration, now: Instant) {
+        if time.as_micros() as f32 > self.mean_us {
+            self.latency.record(time);
+            self.note_mean(time, now);
+        }
+    }
+
+    fn recover(&mut self) {
+        self.failures = 0;
+        self.paused = None;
+    }
+
+    fn count_failure(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= FAILURES {
+            let doublings = u32::from(self.failures - FAILURES).min(16);
+            self.paused = Some(now + (FIRST_PAUSE * (1 << doublings)).min(MAX_PAUSE));
+        }
+    }
+
+    fn cut_share(&mut self, now: Instant) {
+        if self.full_share.is_none() {
+            return;
+        }
+        let open = self.in_flight.max(1);
+        self.share = self.share_at(now).saturating_sub(1).min(open).max(1);
+        self.share_cut = Some(now);
+    }
+
+    fn share_at(&self, now: Instant) -> u16 {
+        let (Some(full), Some(cut)) = (self.full_share, self.share_cut) else {
+            return self.share;
+        };
+        let steps = now.saturating_duration_since(cut).as_secs() / REGROW.as_secs();
+        full.min(
+            self.share
+                .saturating_add(saturate(steps.min(u64::from(u16::MAX)) as u32)),
+        )
+    }
+}
+
+fn saturate(value: u32) -> u16 {
+    u16::try_from(value).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/limit/src/latency.rs
@@ -0,0 +1,76 @@
+//! A small decaying histogram of reply times.
+
+use std::time::Duration;
+
+/// Buckets of the histogram; with [`GROWTH`] they span 100 µs to 8 s.
+const BUCKETS: usize = 96;
+
+/// Upper edge of the first bucket, in microseconds.
+const FIRST_US: f32 = 100.0;
+
+/// Ratio of two neighbouring edges, hence the largest relative error of a quantile.
+const GROWTH: f32 = 1.125;
+
+/// Samples after which every count is halved, so that old reply times lose their weight.
+const HALVE_AT: u32 = 512;
+
+/// Samples below which a quantile would be noise.
+const ENOUGH: u32 = 32;
+
+/// Reply times of one upstream in 200 bytes, because a node may keep thousands of them.
+///
+/// A histogram of `hdrhistogram` neither forgets nor fits: at one significant digit it takes about three times as much.
+#[derive(Debug, Clone)]
+pub(crate) struct Latency {
+    counts: [u16; BUCKETS],
+    total: u32,
+}
+
+impl Latency {
+    pub(crate) fn new() -> Latency {
+        Latency {
+            counts: [0; BUCKETS],
+            total: 0,
+        }
+    }
+
+    pub(crate) fn record(&mut self, time: Duration) {
+        if self.total >= HALVE_AT {
+            self.halve();
+        }
+        self.counts[find_bucket(time)] += 1;
+        self.total += 1;
+    }
+
+    /// Returns the upper edge of the bucket that contains the quantile, or `None` with too few samples.
+    pub(crate) fn quantile(&self, quantile: f64) -> Option<Duration> {
+        if self.total < ENOUGH {
+            return None;
+        }
+        let rank = (quantile * f64::from(self.total)).ceil().max(1.0) as u32;
+        let mut seen = 0;
+        let bucket = self.counts.iter().position(|count| {
+            seen += u32::from(*count);
+            seen >= rank
+        })?;
+        Some(Duration::from_micros(
+            (FIRST_US * GROWTH.powi(bucket as i32)) as u64,
+        ))
+    }
+
+    fn halve(&mut self) {
+        self.total = 0;
+        for count in &mut self.counts {
+            *count /= 2;
+            self.total += u32::from(*count);
+        }
+    }
+}
+
+fn find_bucket(time: Duration) -> usize {
+    let ratio = time.as_micros() as f32 / FIRST_US;
+    if ratio <= 1.0 {
+        return 0;
+    }
+    ((ratio.ln() / GROWTH.ln()).ceil() as usize).min(BUCKETS - 1)
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,1 +1,62 @@
-//! Limits: connections, concurrency, admission, retry and hedge budgets.
+//! Limits of one node towards its upstreams and services.
+//!
+//! A [`Gate`] stands in front of each upstream: it holds the connection share, the adaptive concurrency limit, the
+//! drain flag and the reply times. [`Limits`] chooses among replicas and gives out permits. A [`Budget`] bounds the
+//! hedges and retries of a service. The crate
+//! reads no clock; see `docs/design.md`, section 5.
+//!
+//! ```
+//! use std::time::Duration;
+//! use std::time::Instant;
+//!
+//! use base::Upstream;
+//! use limit::Blocked;
+//! use limit::Ending;
+//! use limit::Limits;
+//! use limit::Tuning;
+//! use limit::connection_share;
+//! use rand_pcg::Pcg64Mcg;
+//!
+//! let upstream = Upstream {
+//!     id: "u1".into(),
+//!     addr: "127.0.0.1:9001".parse().unwrap(),
+//!     zone: "zurich".into(),
+//!     region: "ch".into(),
+//!     slots: 2,
+//!     connections: 90,
+//! };
+//! let now = Instant::now();
+//! let mut rng = Pcg64Mcg::new(1);
+//! let mut limits = Limits::new("zurich".into(), "ch".into(), Tuning::default());
+//! let key = limits.set_upstream(&upstream, Some(connection_share(90, 18)));
+//!
+//! let chosen = limits.pick(&[key], now, &mut rng).unwrap();
+//! let first = limits.acquire(chosen, now).unwrap();
+//! let second = limits.acquire(chosen, now).unwrap();
+//! assert_eq!(limits.check(key, now), Err(Blocked::Limit));
+//!
+//! let later = now + Duration::from_millis(3);
+//! limits.release(first, Ending::Replied, later);
+//! limits.release(second, Ending::Shed, later);
+//! assert_eq!(limits.check(key, later), Ok(()));
+//! ```
+
+mod budget;
+mod gate;
+mod latency;
+mod limits;
+mod pick;
+mod queueing;
+mod tuning;
+
+pub use crate::budget::Budget;
+pub use crate::gate::Blocked;
+pub use crate::gate::Distance;
+pub use crate::gate::Ending;
+pub use crate::gate::Gate;
+pub use crate::limits::GateKey;
+pub use crate::limits::Limits;
+pub use crate::limits::Permit;
+pub use crate::limits::RESERVE_PERCENT;
+pub use crate::limits::connection_share;
+pub use crate::tuning::Tuning;
--- /dev/null
+++ b/crates/limit/src/limits.rs
@@ -0,0 +1,242 @@
+//! The gates and budgets of one node.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::IndexState;
+use base::IndexVersion;
+use base::RegionName;
+use base::ServiceName;
+use base::Upstream;
+use base::UpstreamId;
+use base::UpstreamState;
+use base::ZoneName;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::Blocked;
+use crate::Budget;
+use crate::Distance;
+use crate::Ending;
+use crate::Gate;
+use crate::Tuning;
+
+/// Part of a server's connections that no share uses, in percent.
+///
+/// It covers nodes whose views of the membership differ and a VM that overlaps with its replacement.
+pub const RESERVE_PERCENT: u32 = 20;
+
+new_key_type! {
+    /// Key of a [`Gate`]; never reused for another upstream.
+    pub struct GateKey;
+}
+
+/// The right to have one attempt in flight; it must go back through [`Limits::release`].
+#[derive(Debug)]
+#[must_use = "a permit that is not released keeps its place for ever"]
+pub struct Permit {
+    key: GateKey,
+    sent: Instant,
+    trial: bool,
+}
+
+impl Permit {
+    /// Returns the gate that the permit belongs to.
+    pub fn key(&self) -> GateKey {
+        self.key
+    }
+
+    /// Returns the moment at which the permit was given.
+    pub fn sent(&self) -> Instant {
+        self.sent
+    }
+}
+
+/// Returns the connections that one of `nodes` connecting nodes may use of a server's limit.
+pub fn connection_share(connections: u32, nodes: u32) -> u32 {
+    connections * (100 - RESERVE_PERCENT) / 100 / nodes.max(1)
+}
+
+/// One [`Gate`] per upstream and one [`Budget`] per service, on one node.
+#[derive(Debug)]
+pub struct Limits {
+    zone: ZoneName,
+    region: RegionName,
+    pub(crate) tuning: Tuning,
+    pub(crate) gates: SlotMap<GateKey, Gate>,
+    keys: HashMap<UpstreamId, GateKey>,
+    budgets: BTreeMap<ServiceName, Budget>,
+}
+
+impl Limits {
+    /// Creates the limits of a node in a zone, without any upstream.
+    pub fn new(zone: ZoneName, region: RegionName, tuning: Tuning) -> Limits {
+        Limits {
+            zone,
+            region,
+            tuning,
+            gates: SlotMap::with_key(),
+            keys: HashMap::new(),
+            budgets: BTreeMap::new(),
+        }
+    }
+
+    /// Registers an upstream, or changes the share of a registered one.
+    ///
+    /// `share` is the number of connections that this node may use, see [`connection_share`]; `None` means that a
+    /// holder connects in place of this node, so that neither share nor concurrency are limited here.
+    pub fn set_upstream(&mut self, upstream: &Upstream, share: Option<u32>) -> GateKey {
+        if let Some(&key) = self.keys.get(&upstream.id) {
+            self.gates[key].set_share(share);
+            return key;
+        }
+        let gate = Gate::new(
+            upstream.id.clone(),
+            self.find_distance(upstream),
+            upstream.slots,
+            share,
+        );
+        let key = self.gates.insert(gate);
+        self.keys.insert(upstream.id.clone(), key);
+        key
+    }
+
+    /// Registers every upstream of an index to which each of `nodes` nodes connects.
+    pub fn set_index(&mut self, index: &IndexState, nodes: u32) {
+        for upstream in &index.upstreams {
+            let share = connection_share(upstream.connections, nodes);
+            self.set_upstream(upstream, Some(share));
+        }
+    }
+
+    /// Starts the cold-start ramp of an upstream that joined after this node did.
+    pub fn start_ramp(&mut self, key: GateKey, now: Instant) {
+        if let Some(gate) = self.gates.get_mut(key) {
+            gate.start_ramp(now);
+        }
+    }
+
+    /// Removes the upstreams for which `keep` is false; permits that they gave are then ignored.
+    pub fn retain(&mut self, mut keep: impl FnMut(&UpstreamId) -> bool) {
+        self.gates.retain(|_, gate| keep(&gate.id));
+        let gates = &self.gates;
+        self.keys.retain(|_, key| gates.contains_key(*key));
+    }
+
+    /// Looks up the gate of an upstream.
+    pub fn key(&self, upstream: &UpstreamId) -> Option<GateKey> {
+        self.keys.get(upstream).copied()
+    }
+
+    /// Returns the gate of a key, unless its upstream was removed.
+    pub fn gate(&self, key: GateKey) -> Option<&Gate> {
+        self.gates.get(key)
+    }
+
+    /// Returns which mechanisms are in effect.
+    pub fn tuning(&self) -> &Tuning {
+        &self.tuning
+    }
+
+    /// Tells why an attempt may not be sent to an upstream now, without taking a permit.
+    pub fn check(&self, key: GateKey, now: Instant) -> Result<(), Blocked> {
+        let gate = self.gates.get(key).ok_or(Blocked::Unknown)?;
+        gate.check(&self.tuning, now)
+    }
+
+    /// Takes a permit for one attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the attempt may not be sent now.
+    pub fn acquire(&mut self, key: GateKey, now: Instant) -> Result<Permit, Blocked> {
+        let gate = self.gates.get_mut(key).ok_or(Blocked::Unknown)?;
+        gate.check(&self.tuning, now)?;
+        let trial = gate.enter(&self.tuning, now);
+        Ok(Permit {
+            key,
+            sent: now,
+            trial,
+        })
+    }
+
+    /// Gives a permit back and learns from how the attempt ended.
+    pub fn release(&mut self, permit: Permit, ending: Ending, now: Instant) {
+        if let Some(gate) = self.gates.get_mut(permit.key) {
+            gate.leave(ending, permit.sent, permit.trial, now);
+        }
+    }
+
+    /// Takes in the state that an upstream gave in any reply; `sent` is when the request was sent.
+    ///
+    /// The runtime calls this for every reply with the state header, also for probes, errors and late replies, and
+    /// for drains that other nodes report.
+    pub fn note_state(&mut self, key: GateKey, state: UpstreamState, sent: Instant, now: Instant) {
+        if let Some(gate) = self.gates.get_mut(key) {
+            gate.note_state(state, sent, now);
+        }
+    }
+
+    /// Takes in the index versions that an upstream said it holds.
+    pub fn learn_held(&mut self, key: GateKey, held: &[IndexVersion]) {
+        if let Some(gate) = self.gates.get_mut(key) {
+            gate.learn_held(held);
+        }
+    }
+
+    /// Tells whether an upstream holds a version, or `None` when it has not said.
+    pub fn holds(&self, key: GateKey, version: IndexVersion) -> Option<bool> {
+        let held = self.gates.get(key)?.held()?;
+        Some(held.contains(&version))
+    }
+
+    /// Returns a quantile of an upstream's reply time, or `None` with too few replies.
+    pub fn quantile(&self, key: GateKey, quantile: f64) -> Option<Duration> {
+        self.gates.get(key)?.quantile(quantile)
+    }
+
+    /// Returns the budget of a service.
+    pub fn budget(&self, service: &ServiceName) -> Budget {
+        self.budgets.get(service).copied().unwrap_or_default()
+    }
+
+    /// Credits the budget of a service for one primary that completed.
+    pub fn earn(&mut self, service: &ServiceName, hedge_rate: f64, retry_rate: f64) {
+        if let Some(budget) = self.budgets.get_mut(service) {
+            budget.earn(hedge_rate, retry_rate);
+            return;
+        }
+        let mut budget = Budget::default();
+        budget.earn(hedge_rate, retry_rate);
+        self.budgets.insert(service.clone(), budget);
+    }
+
+    /// Takes the token for one hedge of a service, if there is one.
+    pub fn take_hedge(&mut self, service: &ServiceName) -> bool {
+        let budget = self.budgets.get_mut(service);
+        !self.tuning.budget || budget.is_some_and(Budget::take_hedge)
+    }
+
+    /// Takes the token for one retry of a service, if there is one.
+    pub fn take_retry(&mut self, service: &ServiceName) -> bool {
+        let budget = self.budgets.get_mut(service);
+        !self.tuning.budget || budget.is_some_and(Budget::take_retry)
+    }
+
+    /// Removes the budgets of services that are no longer declared.
+    pub fn retain_services(&mut self, mut keep: impl FnMut(&ServiceName) -> bool) {
+        self.budgets.retain(|service, _| keep(service));
+    }
+
+    fn find_distance(&self, upstream: &Upstream) -> Distance {
+        if upstream.zone == self.zone {
+            Distance::Zone
+        } else if upstream.region == self.region {
+            Distance::Region
+        } else {
+            Distance::Far
+        }
+    }
+}
