limit: add admission with deficit round robin

Without a queue of its own, a service that floods the node delays every other one, and queries that cannot meet their deadline still take capacity.

Admission holds one bounded queue per service, serves them by deficit round robin weighted by priority, refuses a query whose expected wait passes its deadline, and gives out expired ones as such.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Gate`] stands in front of each upstream: it holds the connection share, the adaptive concurrency limit, the
 //! drain flag and the reply times. [`Limits`] chooses among replicas and gives out permits. A [`Budget`] bounds the
-//! hedges and retries of a service. The crate
+//! hedges and retries of a service, and [`Admission`] holds back queries that there is no capacity for. The crate
 //! reads no clock; see `docs/design.md`, section 5.
 //!
 //! ```
@@ -41,6 +41,7 @@
 //! assert_eq!(limits.check(key, later), Ok(()));
 //! ```
 
+mod admission;
 mod budget;
 mod gate;
 mod latency;
@@ -49,6 +50,11 @@
 mod queueing;
 mod tuning;
 
+pub use crate::admission::Admission;
+pub use crate::admission::Priority;
+pub use crate::admission::Refusal;
+pub use crate::admission::Request;
+pub use crate::admission::Turn;
 pub use crate::budget::Budget;
 pub use crate::gate::Blocked;
 pub use crate::gate::Distance;
