Test the governor of platform calls

Cause: a breaker that never closes, a trial that is not alone, or a budget that lets bursts through would show only during an outage.

Change: property tests bound the admitted calls of every time window and the backoff; cases cover the single trial, a dropped trial and a late success from before the outage. The seeds are fixed.

--- /dev/null
+++ b/crates/store/tests/governor.rs
@@ -0,0 +1,138 @@
+//! Call budget, backoff and circuit breaker of the governor.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+use store::Denied;
+use store::Governor;
+use store::GovernorOptions;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn options() -> GovernorOptions {
+    GovernorOptions {
+        rate: 10.0,
+        burst: 5,
+        failures: 3,
+        base_delay: 100 * MS,
+        max_delay: 1000 * MS,
+        trial_lease: 500 * MS,
+    }
+}
+
+/// Returns a governor whose breaker is open, and the time at which it allows a trial.
+fn open_breaker(now: Instant, rng: &mut Pcg64) -> (Governor, Instant) {
+    let mut governor = Governor::new(options(), now);
+    let mut delay = Duration::ZERO;
+    for _ in 0..3 {
+        let ticket = governor.admit(now).unwrap();
+        delay = governor.settle(ticket, false, now, rng);
+    }
+    (governor, now + delay)
+}
+
+/// Guards against a breaker that stays closed while the platform fails, or that admits more than one trial.
+#[rstest]
+#[case::trial_succeeds(true)]
+#[case::trial_fails(false)]
+fn test_breaker_admits_a_single_trial(#[case] healthy: bool) {
+    let now = Instant::now();
+    let mut rng = Pcg64::seed_from_u64(1);
+    let (mut governor, until) = open_breaker(now, &mut rng);
+    assert!(matches!(governor.admit(now), Err(Denied::Open { .. })));
+    let trial = governor.admit(until).unwrap();
+    assert!(trial.is_trial());
+    assert!(matches!(governor.admit(until), Err(Denied::Trial { .. })));
+    governor.settle(trial, healthy, until, &mut rng);
+    let next = governor.admit(until);
+    assert_eq!(next.is_ok_and(|ticket| !ticket.is_trial()), healthy);
+}
+
+/// Guards against a call from before the outage whose late success closes the breaker.
+#[test]
+fn test_late_success_leaves_the_breaker_open() {
+    let now = Instant::now();
+    let mut rng = Pcg64::seed_from_u64(2);
+    let mut governor = Governor::new(options(), now);
+    let late = governor.admit(now).unwrap();
+    for _ in 0..3 {
+        let ticket = governor.admit(now).unwrap();
+        governor.settle(ticket, false, now, &mut rng);
+    }
+    governor.settle(late, true, now, &mut rng);
+    assert!(matches!(governor.admit(now), Err(Denied::Open { .. })));
+}
+
+/// Guards against a breaker that never closes because the trial call was dropped without a result.
+#[test]
+fn test_dropped_trial_is_replaced() {
+    let now = Instant::now();
+    let mut rng = Pcg64::seed_from_u64(3);
+    let (mut governor, until) = open_breaker(now, &mut rng);
+    let dropped = governor.admit(until).unwrap();
+    let trial = governor.admit(until + 500 * MS).unwrap();
+    governor.settle(dropped, false, until + 500 * MS, &mut rng);
+    governor.settle(trial, true, until + 500 * MS, &mut rng);
+    assert!(governor.admit(until + 500 * MS).is_ok());
+}
+
+/// Fixes the seed, so that a run gives the same verdict as the one before.
+fn seeded() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    /// Guards against a bucket that lets more calls through than the budget, whatever the times of the calls are.
+    #[test]
+    fn test_calls_stay_within_the_budget(gaps in prop::collection::vec(0_u32..400, 1..200)) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut rng = Pcg64::seed_from_u64(4);
+        let mut governor = Governor::new(options(), start);
+        let mut admitted = Vec::new();
+        for gap in gaps {
+            now += gap * MS;
+            if let Ok(ticket) = governor.admit(now) {
+                governor.settle(ticket, true, now, &mut rng);
+                admitted.push(now);
+            }
+        }
+        for (first, from) in admitted.iter().enumerate() {
+            for (last, to) in admitted.iter().enumerate().skip(first) {
+                let allowed = 5.0 + 10.0 * (*to - *from).as_secs_f64() + 1e-6;
+                prop_assert!((last - first + 1) as f64 <= allowed);
+            }
+        }
+    }
+
+    /// Guards against a backoff above its bound, and against two VMs that draw the same delays.
+    #[test]
+    fn test_backoff_is_bounded_and_jittered(seed in any::<u64>()) {
+        let mut now = Instant::now();
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let mut governor = Governor::new(options(), now);
+        let mut delays = Vec::new();
+        for failures in 0..12_u32 {
+            let ticket = governor.admit(now).unwrap();
+            let delay = governor.settle(ticket, false, now, &mut rng);
+            prop_assert!(delay <= (100 * MS * 2_u32.pow(failures)).min(1000 * MS));
+            now += 1000 * MS;
+            delays.push(delay);
+        }
+        delays.sort_unstable();
+        delays.dedup();
+        prop_assert!(delays.len() > 6, "{delays:?}");
+    }
+}
