lab: build the example deployments and their declarations

A replica is placed in each zone. Where the servers of an index don't divide evenly by the zones (archive-desk, registry) a server holds more or fewer than 3 shards.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,4 @@
 //! Stand-ins for upstreams and the platform, load generation and experiments.
+
+pub mod deploy;
+pub mod settings;
--- /dev/null
+++ b/crates/lab/tests/deploy.rs
@@ -0,0 +1,121 @@
+//! Checks of the example deployments.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use decl::Declaration;
+use decl::Prefer;
+use lab::deploy::Deployment;
+use lab::deploy::build_example;
+use rstest::rstest;
+
+fn read_declarations(name: &str) -> Vec<Declaration> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name);
+    let mut files: Vec<_> = std::fs::read_dir(folder)
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .collect();
+    files.sort();
+    let parse = |path: &std::path::PathBuf| {
+        let file = path.file_name().unwrap().to_str().unwrap();
+        decl::parse_declaration(file, &std::fs::read_to_string(path).unwrap()).unwrap()
+    };
+    files.iter().map(parse).collect()
+}
+
+fn build(name: &str) -> Deployment {
+    build_example(name, 7).unwrap()
+}
+
+/// Guards against a declaration that does not parse, selects no shard, or names an index that is not deployed.
+#[rstest]
+#[case::latency_first("brunner-vaucher", &[("plan-desk", 10), ("family-portal", 15), ("archive-desk", 1), ("collections", 1)], Prefer::Latency, "post-instalment")]
+#[case::coverage_first("skiasis", &[("offcut-desk", 10), ("order-board", 15), ("registry", 1), ("swatch-book", 1)], Prefer::Coverage, "rush-order")]
+fn declarations_match_the_deployment(
+    #[case] name: &str,
+    #[case] services: &[(&str, usize)],
+    #[case] prefer: Prefer,
+    #[case] once: &str,
+) {
+    let deployment = build(name);
+    let declarations = read_declarations(name);
+    for &(index, count) in services {
+        let shards = &deployment.index(index).unwrap().state.maps[0].shards;
+        let own: Vec<_> = declarations
+            .iter()
+            .filter(|entry| entry.index == index)
+            .collect();
+        assert_eq!(own.len(), count, "{index}");
+        for declaration in own {
+            let selected = shards
+                .iter()
+                .any(|shard| declaration.shards.contains(shard));
+            assert!(selected, "{} selects no shard", declaration.service);
+        }
+    }
+    let names: BTreeSet<_> = declarations.iter().map(|entry| &entry.service).collect();
+    assert_eq!(names.len(), declarations.len());
+    assert_eq!(
+        names.len(),
+        services.iter().map(|(_, count)| count).sum::<usize>()
+    );
+    assert!(
+        declarations
+            .iter()
+            .all(|entry| entry.at_deadline.prefer == prefer)
+    );
+    let request = declarations
+        .iter()
+        .find_map(|entry| entry.request(once))
+        .unwrap();
+    assert!(!request.repeatable);
+}
+
+/// Guards against replicas that share a zone, or servers without load, in every index of the table.
+#[rstest]
+#[case::brunner_vaucher("brunner-vaucher")]
+#[case::skiasis("skiasis")]
+fn replicas_are_in_distinct_zones(#[case] name: &str) {
+    for index in build(name).indexes {
+        let zone = |id: &base::UpstreamId| {
+            let mut servers = index.servers.iter();
+            servers
+                .find(|server| server.id == *id)
+                .unwrap()
+                .zone
+                .clone()
+        };
+        let shards = &index.state.maps[0].shards;
+        assert_eq!(shards.len(), index.servers.len());
+        for shard in shards {
+            let zones: BTreeSet<_> = shard.replicas.iter().map(zone).collect();
+            assert_eq!(zones.len(), 3, "{}/{}", index.state.index, shard.id);
+        }
+        for server in &index.servers {
+            let held = shards
+                .iter()
+                .filter(|shard| shard.replicas.contains(&server.id))
+                .count();
+            let even = index.servers.len().is_multiple_of(3);
+            assert!(
+                if even { held == 3 } else { held >= 1 },
+                "{} holds {held}",
+                server.id
+            );
+        }
+    }
+}
+
+/// Guards against a deployment that depends on more than its seed.
+#[rstest]
+fn the_seed_decides() {
+    let members = |seed| -> Vec<u64> {
+        let deployment = build_example("skiasis", seed).unwrap();
+        let shards = &deployment.indexes[0].state.maps[0].shards;
+        shards.iter().map(|shard| shard.members).collect()
+    };
+    assert_eq!(members(1), members(1));
+    assert_ne!(members(1), members(2));
+}
