--- /dev/null
+++ b/crates/entry/src/api.rs
@@ -0,0 +1,276 @@
+//! HTTP API for callers and operators.
+
+use std::sync::Arc;
+
+use base::Code;
+use base::Outcome;
+use base::Part;
+use compact_str::CompactString;
+use dropshot::ApiDescription;
+use dropshot::ApiDescriptionRegisterError;
+use dropshot::ErrorStatusCode;
+use dropshot::HttpError;
+use dropshot::HttpResponseError;
+use dropshot::HttpResponseOk;
+use dropshot::Path;
+use dropshot::RequestContext;
+use dropshot::TypedBody;
+use dropshot::endpoint;
+use query::Answer;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::node::Node;
+use crate::request::Call;
+use crate::request::serve_call;
+use crate::status::Status;
+
+/// Request header by which a caller names its request, so that a retry is recognized.
+const HEADER_KEY: &str = "idempotency-key";
+
+/// Path of a request.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct RequestPath {
+    /// Name of the service.
+    service: String,
+    /// Name of the kind of request.
+    request: String,
+}
+
+/// Body of a request.
+#[derive(Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct RequestBody {
+    /// Passed on to the upstreams unchanged.
+    #[schemars(with = "serde_json::Value")]
+    body: Box<RawValue>,
+    /// Whether the answer carries its explanation record.
+    #[serde(default)]
+    explain: bool,
+    /// Time that the caller waits, in milliseconds; the declared deadline applies when it is shorter.
+    timeout_ms: Option<u64>,
+    /// Shard that a request that is not repeatable goes to; chosen by its key when absent.
+    shard: Option<u32>,
+}
+
+/// Body of every answer, whole or partial.
+#[derive(Debug, Serialize, JsonSchema)]
+pub struct AnswerBody {
+    /// What the caller may conclude: `answered`, `partial`, `refused` (not run) or `unknown` (may have run).
+    pub outcome: String,
+    /// Result code; `docs/codes.md` lists them.
+    pub code: u16,
+    /// Meaning of the code.
+    pub meaning: String,
+    /// Identifies the query in logs.
+    pub query: String,
+    /// Configuration revision that the query was bound to.
+    pub revision: u64,
+    /// Idempotency key of a request that is not repeatable.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
+    /// Index version and shard map that every part comes from.
+    #[schemars(with = "Option<serde_json::Value>")]
+    pub snapshot: Option<base::Snapshot>,
+    /// Coverage in shards and members, with the missing shards.
+    #[schemars(with = "serde_json::Value")]
+    pub coverage: query::Coverage,
+    /// One part for each shard in the answer.
+    #[schemars(with = "Vec<serde_json::Value>")]
+    pub parts: Vec<Part>,
+    /// Result of a request that is not repeatable.
+    #[schemars(with = "Option<serde_json::Value>")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub result: Option<Box<RawValue>>,
+    /// Explanation record, when asked for.
+    #[schemars(with = "Option<serde_json::Value>")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub explanation: Option<query::Explanation>,
+}
+
+impl AnswerBody {
+    /// Converts the answer of a query; `explain` keeps its explanation record.
+    pub fn from_answer(answer: Answer, explain: bool) -> AnswerBody {
+        let Answer { code, parts, explanation } = answer;
+        AnswerBody {
+            outcome: outcome_word(code).into(),
+            code: code.number(),
+            meaning: code.meaning().into(),
+            query: explanation.query.to_string(),
+            revision: explanation.revision,
+            key: None,
+            snapshot: explanation.snapshot,
+            coverage: explanation.coverage.clone(),
+            parts,
+            result: None,
+            explanation: explain.then_some(explanation),
+        }
+    }
+}
+
+/// Body of an answer without parts: refused, unknown or invalid.
+#[derive(Debug, Serialize, JsonSchema)]
+pub struct FailureBody {
+    /// What the caller may conclude: `refused` (not run) or `unknown` (may have run).
+    pub outcome: String,
+    /// Result code; `docs/codes.md` lists them.
+    pub code: u16,
+    /// Meaning of the code.
+    pub meaning: String,
+    /// What was wrong with this request.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub detail: Option<String>,
+    /// Identifies the query in logs, when one was started.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub query: Option<String>,
+    /// Idempotency key of a request that is not repeatable.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
+    /// Coverage that was reached, when a query was started.
+    #[schemars(with = "Option<serde_json::Value>")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub coverage: Option<query::Coverage>,
+    /// Explanation record, when asked for.
+    #[schemars(with = "Option<serde_json::Value>")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub explanation: Option<Box<query::Explanation>>,
+    #[serde(skip)]
+    status: u16,
+}
+
+impl FailureBody {
+    /// Creates the body for a code, with what was wrong with this request.
+    pub fn new(code: Code, detail: Option<String>) -> FailureBody {
+        FailureBody {
+            outcome: outcome_word(code).into(),
+            code: code.number(),
+            meaning: code.meaning().into(),
+            detail,
+            query: None,
+            key: None,
+            coverage: None,
+            explanation: None,
+            status: http_status(code),
+        }
+    }
+
+    /// Converts the answer of a query that gave no parts.
+    pub fn from_answer(answer: Answer, explain: bool) -> FailureBody {
+        let explanation = answer.explanation;
+        FailureBody {
+            query: Some(explanation.query.to_string()),
+            coverage: Some(explanation.coverage.clone()),
+            explanation: explain.then(|| Box::new(explanation)),
+            ..FailureBody::new(answer.code, None)
+        }
+    }
+}
+
+impl std::fmt::Display for FailureBody {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} (code {})", self.meaning, self.code)
+    }
+}
+
+impl HttpResponseError for FailureBody {
+    fn status_code(&self) -> ErrorStatusCode {
+        ErrorStatusCode::from_u16(self.status).unwrap_or(ErrorStatusCode::INTERNAL_SERVER_ERROR)
+    }
+}
+
+impl From<HttpError> for FailureBody {
+    fn from(error: HttpError) -> FailureBody {
+        let code = match error.status_code.as_u16() {
+            413 => Code::BodyTooLarge,
+            _ => Code::InvalidBody,
+        };
+        FailureBody::new(code, Some(error.external_message))
+    }
+}
+
+/// Returns the word for the outcome in answers.
+fn outcome_word(code: Code) -> &'static str {
+    match code.outcome() {
+        Some(Outcome::Answered) => "answered",
+        Some(Outcome::Partial) => "partial",
+        Some(Outcome::Refused) => "refused",
+        Some(Outcome::Unknown) | None => "unknown",
+    }
+}
+
+/// Returns the HTTP status of an answer without parts.
+fn http_status(code: Code) -> u16 {
+    match code {
+        Code::UnknownService | Code::UnknownRequest => 404,
+        Code::InvalidBody => 400,
+        Code::BodyTooLarge => 413,
+        Code::KeyReused => 422,
+        Code::DuplicateUnknown => 409,
+        _ => match code.outcome() {
+            Some(Outcome::Unknown) => 504,
+            _ => 503,
+        },
+    }
+}
+
+/// Whether the VM is alive or ready.
+#[derive(Debug, Serialize, JsonSchema)]
+pub struct Health {
+    /// `ok`, or the reason.
+    pub state: String,
+}
+
+/// Runs a request of a service.
+#[endpoint { method = POST, path = "/v1/services/{service}/requests/{request}" }]
+async fn post_request(
+    rqctx: RequestContext<Arc<Node>>,
+    path: Path<RequestPath>,
+    body: TypedBody<RequestBody>,
+) -> Result<HttpResponseOk<AnswerBody>, FailureBody> {
+    let RequestPath { service, request } = path.into_inner();
+    let RequestBody { body, explain, timeout_ms, shard } = body.into_inner();
+    let key = rqctx.request.headers().get(HEADER_KEY).and_then(|key| key.to_str().ok());
+    let call = Call {
+        service: service.into(),
+        request: request.into(),
+        key: key.map(CompactString::from),
+        body,
+        explain,
+        timeout: timeout_ms.map(std::time::Duration::from_millis),
+        shard,
+    };
+    serve_call(rqctx.context(), call).await.map(HttpResponseOk)
+}
+
+/// Tells whether the process runs.
+#[endpoint { method = GET, path = "/healthz" }]
+async fn get_healthz(_rqctx: RequestContext<Arc<Node>>) -> Result<HttpResponseOk<Health>, HttpError> {
+    Ok(HttpResponseOk(Health { state: "ok".into() }))
+}
+
+/// Tells whether the balancer may send callers here.
+#[endpoint { method = GET, path = "/readyz" }]
+async fn get_readyz(rqctx: RequestContext<Arc<Node>>) -> Result<HttpResponseOk<Health>, FailureBody> {
+    match rqctx.context().readiness() {
+        Ok(()) => Ok(HttpResponseOk(Health { state: "ok".into() })),
+        Err(code) => Err(FailureBody::new(code, None)),
+    }
+}
+
+/// Reports revisions, members, draining upstreams and budgets.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn get_status(rqctx: RequestContext<Arc<Node>>) -> Result<HttpResponseOk<Status>, HttpError> {
+    Ok(HttpResponseOk(rqctx.context().status()))
+}
+
+/// Describes the API; the OpenAPI document is generated from it.
+pub fn describe_api() -> Result<ApiDescription<Arc<Node>>, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(post_request)?;
+    api.register(get_healthz)?;
+    api.register(get_readyz)?;
+    api.register(get_status)?;
+    Ok(api)
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,146 @@
+//! Drives the state machine of a query: sends its sub-requests, and feeds replies and timers back.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use base::CancelRequest;
+use base::QueryReply;
+use base::QueryRequest;
+use base::RejectReply;
+use bytes::Bytes;
+use http::StatusCode;
+use query::Action;
+use query::Answer;
+use query::Attempt;
+use query::Event;
+use query::Failure;
+use query::Plan;
+use query::Query;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::node::Node;
+use crate::pool::CallError;
+use crate::pool::Reply;
+use crate::request::format_query;
+
+/// Path of a query at an upstream.
+const PATH_QUERY: &str = "/v1/query";
+
+/// Path by which an attempt is cancelled at an upstream.
+const PATH_CANCEL: &str = "/v1/cancel";
+
+/// What every attempt of one query has in common.
+#[derive(Debug)]
+struct Shared {
+    node: Arc<Node>,
+    plan: Plan,
+    body: Box<RawValue>,
+    events: UnboundedSender<Event>,
+}
+
+/// Runs a query to its answer.
+///
+/// Events are handled one at a time under the lock of the node's limits, which is never held across an await point.
+pub async fn run_query(node: &Arc<Node>, plan: Plan, body: Box<RawValue>) -> Answer {
+    let (events, mut inbox) = mpsc::unbounded_channel();
+    let mut query = Query::new(plan.clone(), Instant::now());
+    let deadline = plan.deadline;
+    let shared = Arc::new(Shared { node: node.clone(), plan, body, events });
+    let mut event = Event::Start;
+    let mut wake = deadline;
+    loop {
+        for action in node.advance(&mut query, &shared.plan.index, event) {
+            match action {
+                Action::Send(attempt) => drop(tokio::spawn(send_attempt(shared.clone(), attempt))),
+                Action::Cancel(attempt) => node.cancel(attempt),
+                Action::WakeAt(at) => wake = at,
+                Action::Finish(answer) => return *answer,
+            }
+        }
+        event = tokio::select! {
+            Some(event) = inbox.recv() => event,
+            () = tokio::time::sleep_until(wake.into()) => Event::Wake,
+        };
+    }
+}
+
+/// Sends one attempt and reports its end to the query.
+async fn send_attempt(shared: Arc<Shared>, attempt: Attempt) {
+    let (node, plan) = (&shared.node, &shared.plan);
+    let id = attempt.id;
+    let sent = Instant::now();
+    let request = QueryRequest {
+        attempt: id,
+        query: format_query(plan.id),
+        index: plan.index.clone(),
+        version: attempt.snapshot.version,
+        map: attempt.snapshot.map,
+        shards: vec![attempt.shard],
+        deadline_ms: attempt.deadline.saturating_duration_since(sent).as_millis() as u64,
+        request: plan.request.clone(),
+        body: shared.body.clone(),
+    };
+    let Some(upstream) = node.upstream(&plan.index, &attempt.upstream) else {
+        let _ = shared.events.send(Event::Failed(id, Failure::Unreachable));
+        return;
+    };
+    let share = node.share(&attempt.upstream);
+    node.track(id, &upstream);
+    let result = node.pool.call(&upstream, share, PATH_QUERY, encode(&request), false).await;
+    node.untrack(id);
+    let event = match result {
+        Ok(reply) => {
+            if let Some(state) = reply.state {
+                node.note_state(&attempt.upstream, state, sent);
+            }
+            read_event(id, &reply)
+        }
+        Err(error) => Event::Failed(id, classify_error(error)),
+    };
+    let _ = shared.events.send(event);
+}
+
+/// Turns a reply into an event; a reply that is not valid may come from a run, so it counts as lost.
+fn read_event(attempt: u64, reply: &Reply) -> Event {
+    if reply.status == StatusCode::OK {
+        return match serde_json::from_slice::<QueryReply>(&reply.body) {
+            Ok(message) => Event::Reply(message),
+            Err(error) => {
+                log::warn!("upstream: reply to attempt {attempt} is not valid: {error}");
+                Event::Failed(attempt, Failure::Lost)
+            }
+        };
+    }
+    if reply.status == StatusCode::GONE {
+        let held = serde_json::from_slice::<RejectReply>(&reply.body).map(|reject| reject.held);
+        return Event::Failed(attempt, Failure::Retired(held.unwrap_or_default()));
+    }
+    let failure = if reply.not_run { Failure::NotRun } else { Failure::Lost };
+    Event::Failed(attempt, failure)
+}
+
+/// Tells what a failed call proves.
+pub fn classify_error(error: CallError) -> Failure {
+    match error {
+        CallError::ShareInUse | CallError::Refused => Failure::Refused,
+        CallError::Unreachable => Failure::Unreachable,
+        CallError::Lost => Failure::Lost,
+    }
+}
+
+/// Encodes a message of the upstream protocol.
+pub fn encode<T: Serialize>(message: &T) -> Bytes {
+    serde_json::to_vec(message).expect("upstream messages have string keys only").into()
+}
+
+/// Tells an upstream that a reply is not needed; the attempt's own task reads the reply and frees the connection.
+pub async fn send_cancel(node: Arc<Node>, attempt: u64, upstream: base::Upstream) {
+    let share = node.share(&upstream.id);
+    let message = CancelRequest { attempt };
+    if let Err(error) = node.pool.call(&upstream, share, PATH_CANCEL, encode(&message), false).await {
+        log::debug!("upstream: attempt {attempt} was not cancelled at {}: {error:?}", upstream.id);
+    }
+}
