--- /dev/null
+++ b/crates/lab/src/server.rs
@@ -0,0 +1,506 @@
+//! A model of one upstream server, without I/O: it is driven by events that carry the time.
+//!
+//! The runtime in [`crate::upstreams`] and the benchmark in [`crate::bench`] drive the same model, so that a fault
+//! behaves the same over sockets and in virtual time.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::AttemptId;
+use base::IndexVersion;
+use base::MapId;
+use base::Part;
+use base::QueryReply;
+use base::QueryRequest;
+use base::RejectReply;
+use base::RunReply;
+use base::RunRequest;
+use base::ShardId;
+use base::ShardMap;
+use base::UpstreamState;
+use compact_str::CompactString;
+use rand::Rng;
+use rand::RngExt;
+use serde_json::value::RawValue;
+
+use crate::fault::Fault;
+use crate::fault::Faults;
+use crate::report::Load;
+use crate::report::Reports;
+use crate::settings::Counts;
+use crate::settings::Settings;
+
+/// Identifies one request at one server; chosen by the driver, so that a repeated attempt id cannot mix replies up.
+pub type Ticket = u64;
+
+/// Time until a running request notices that it was cancelled, as servers check between steps of the work.
+const CANCEL_LAG: Duration = Duration::from_millis(1);
+
+/// Longest request body that is repeated in the items; a longer one is replaced by its hash.
+const ECHO_LIMIT: usize = 256;
+
+/// An input of the model.
+#[derive(Debug)]
+pub enum Event {
+    /// A request to search some shards; without shards it is a probe.
+    Query(Ticket, QueryRequest),
+    /// A request that changes a shard.
+    Run(Ticket, RunRequest),
+    /// The caller needs no reply to this attempt.
+    Cancel(AttemptId),
+    /// A fault is switched on or off.
+    Fault(Fault),
+    /// A requested moment has come.
+    Wake,
+}
+
+/// An output of the model.
+#[derive(Debug)]
+pub enum Action {
+    /// Send the reply to a request.
+    Reply(Ticket, Reply),
+    /// Call back with [`Event::Wake`] at this moment or later.
+    WakeAt(Instant),
+}
+
+/// The reply to one request.
+#[derive(Debug)]
+pub enum Reply {
+    /// Status 200 to a query.
+    Query(QueryReply),
+    /// Status 200 to a run.
+    Run(RunReply),
+    /// An error status.
+    Reject(Reject),
+}
+
+/// A rejected request.
+#[derive(Debug)]
+pub struct Reject {
+    /// HTTP status: 410, 429 or 503.
+    pub status: u16,
+    /// Whether the server proves that the request was not run.
+    pub not_run: bool,
+    /// Body.
+    pub body: RejectReply,
+}
+
+#[derive(Debug)]
+enum Work {
+    Query(QueryRequest),
+    Run(RunRequest),
+}
+
+impl Work {
+    fn attempt(&self) -> AttemptId {
+        match self {
+            Work::Query(request) => request.attempt,
+            Work::Run(request) => request.attempt,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Job {
+    ticket: Ticket,
+    arrived: Instant,
+    deadline: Instant,
+    work: Work,
+}
+
+#[derive(Debug)]
+struct Running {
+    job: Job,
+    started: Instant,
+    ends: Instant,
+    cut: Option<&'static str>,
+}
+
+/// The model of one server.
+#[derive(Debug)]
+pub struct Server {
+    settings: Settings,
+    started: Instant,
+    faults: Faults,
+    drained: Option<Instant>,
+    versions: BTreeMap<IndexVersion, MapId>,
+    shards: BTreeMap<MapId, BTreeMap<ShardId, u64>>,
+    running: Vec<Running>,
+    queue: VecDeque<Job>,
+    reports: Reports,
+    counts: Counts,
+    runs: BTreeMap<CompactString, u32>,
+}
+
+impl Server {
+    /// Creates a warm server that holds its shards of the given maps.
+    pub fn new(settings: Settings, maps: &[ShardMap], now: Instant) -> Server {
+        let mut server = Server {
+            started: now.checked_sub(settings.cold_time).unwrap_or(now),
+            reports: Reports::new(settings.report_lag),
+            settings,
+            faults: Faults::default(),
+            drained: None,
+            versions: BTreeMap::new(),
+            shards: BTreeMap::new(),
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            counts: Counts::default(),
+            runs: BTreeMap::new(),
+        };
+        for map in maps {
+            server.hold(map);
+        }
+        server
+    }
+
+    /// Advances the model by one event.
+    pub fn handle(&mut self, event: Event, now: Instant, rng: &mut dyn Rng) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.complete(now, rng, &mut actions);
+        match event {
+            Event::Query(ticket, request) => self.query(ticket, request, now, rng, &mut actions),
+            Event::Run(ticket, request) => {
+                let deadline = now + Duration::from_millis(request.deadline_ms);
+                let work = Work::Run(request);
+                self.admit(
+                    Job {
+                        ticket,
+                        arrived: now,
+                        deadline,
+                        work,
+                    },
+                    now,
+                    rng,
+                    &mut actions,
+                );
+            }
+            Event::Cancel(attempt) => self.cancel(attempt, now, &mut actions),
+            Event::Fault(fault) => self.fault(fault, now, &mut actions),
+            Event::Wake => {}
+        }
+        self.reports.record(self.load_now(now), now);
+        if let Some(ends) = self.running.iter().map(|running| running.ends).min() {
+            actions.push(Action::WakeAt(ends));
+        }
+        actions
+    }
+
+    /// Returns the state that the server gives on each reply.
+    pub fn state(&self, now: Instant) -> UpstreamState {
+        if self.drained.is_some() {
+            UpstreamState::Draining
+        } else if now < self.started + self.settings.cold_time {
+            UpstreamState::Cold
+        } else {
+            UpstreamState::Live
+        }
+    }
+
+    /// Returns the load figure of `GET /load` and the state of `GET /healthz`; both lag.
+    pub fn reported(&self, now: Instant) -> Load {
+        self.reports.at(now).unwrap_or_else(|| self.load_now(now))
+    }
+
+    /// Tells whether the server accepts connections; a stopped one refuses them.
+    pub fn accepts(&self) -> bool {
+        !self.faults.stopped
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns what the server has done so far.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Returns how often a request with each idempotency key was run.
+    pub fn runs(&self) -> &BTreeMap<CompactString, u32> {
+        &self.runs
+    }
+
+    /// Returns the load at this moment, which no endpoint shows; checks compare with it.
+    pub fn load_now(&self, now: Instant) -> Load {
+        Load {
+            state: self.state(now),
+            running: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+        }
+    }
+
+    fn hold(&mut self, map: &ShardMap) {
+        let own = map
+            .shards
+            .iter()
+            .filter(|shard| shard.replicas.contains(&self.settings.id))
+            .map(|shard| (shard.id, shard.members))
+            .collect();
+        self.shards.insert(map.map, own);
+        for &version in &map.versions {
+            self.versions.insert(version, map.map);
+        }
+    }
+
+    fn fault(&mut self, fault: Fault, now: Instant, actions: &mut Vec<Action>) {
+        match fault {
+            Fault::Hold { map } => self.hold(&map),
+            Fault::Retire { version } => {
+                self.versions.remove(&version);
+            }
+            Fault::Drain => self.drained = self.drained.or(Some(now)),
+            Fault::Restart => {
+                self.drop_all(actions, now);
+                self.drained = None;
+                self.started = now;
+            }
+            Fault::Stop => {
+                self.drop_all(actions, now);
+                self.faults.stopped = true;
+            }
+            Fault::Clear => {
+                self.drained = None;
+                self.faults = Faults::default();
+            }
+            Fault::Straggle { chance, factor } => self.faults.straggle = (chance, factor),
+            Fault::Slow { factor } => self.faults.slow = factor,
+            Fault::Shed { chance } => self.faults.shed = chance,
+        }
+    }
+
+    /// Ends everything in progress without proof that it was not run, as a process that stops does.
+    fn drop_all(&mut self, actions: &mut Vec<Action>, now: Instant) {
+        let running = std::mem::take(&mut self.running);
+        let queue = std::mem::take(&mut self.queue);
+        for job in running.into_iter().map(|running| running.job).chain(queue) {
+            actions.push(self.reject(&job, 503, false, "the server stopped", now));
+        }
+    }
+
+    fn query(
+        &mut self,
+        ticket: Ticket,
+        request: QueryRequest,
+        now: Instant,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        if request.shards.is_empty() {
+            self.counts.probes += 1;
+            let reply = self.query_reply(&request, Duration::ZERO, now);
+            actions.push(Action::Reply(ticket, Reply::Query(reply)));
+            return;
+        }
+        let deadline = now + Duration::from_millis(request.deadline_ms);
+        let job = Job {
+            ticket,
+            arrived: now,
+            deadline,
+            work: Work::Query(request),
+        };
+        self.admit(job, now, rng, actions);
+    }
+
+    fn admit(&mut self, job: Job, now: Instant, rng: &mut dyn Rng, actions: &mut Vec<Action>) {
+        self.counts.received += 1;
+        let leaving = self
+            .drained
+            .is_some_and(|since| now >= since + self.settings.drain_grace);
+        if leaving {
+            self.counts.late += 1;
+            actions.push(self.reject(&job, 503, true, "the server is draining", now));
+        } else if !self.holds(&job.work) {
+            self.counts.retired += 1;
+            actions.push(self.reject(&job, 410, true, "the version or map is not held", now));
+        } else if self.faults.shed > 0.0 && rng.random_bool(self.faults.shed.min(1.0)) {
+            self.counts.shed += 1;
+            actions.push(self.reject(&job, 503, true, "the server sheds load", now));
+        } else if self.running.len() < self.settings.slots as usize {
+            self.start(job, now, rng);
+        } else if self.queue.len() >= self.settings.queue as usize {
+            self.counts.full += 1;
+            actions.push(self.reject(&job, 429, true, "the queue is full", now));
+        } else {
+            self.queue.push_back(job);
+        }
+    }
+
+    fn holds(&self, work: &Work) -> bool {
+        match work {
+            Work::Query(request) => {
+                let held = self.versions.get(&request.version) == Some(&request.map);
+                let own = self.shards.get(&request.map);
+                held && own.is_some_and(|own| request.shards.iter().all(|id| own.contains_key(id)))
+            }
+            Work::Run(request) => {
+                let newest = self.versions.last_key_value().map(|(_, map)| map);
+                newest
+                    .and_then(|map| self.shards.get(map))
+                    .is_some_and(|own| own.contains_key(&request.shard))
+            }
+        }
+    }
+
+    fn start(&mut self, job: Job, now: Instant, rng: &mut dyn Rng) {
+        self.counts.ran += 1;
+        let work = match &job.work {
+            Work::Query(request) => self.service_time(now, rng) * request.shards.len() as u32,
+            Work::Run(request) => {
+                *self.runs.entry(request.key.clone()).or_default() += 1;
+                self.service_time(now, rng)
+            }
+        };
+        let ends = now + work;
+        let cut = (matches!(job.work, Work::Query(_)) && ends > job.deadline)
+            .then_some("the deadline passed while the request ran");
+        let ends = if cut.is_some() { job.deadline } else { ends };
+        self.running.push(Running {
+            job,
+            started: now,
+            ends,
+            cut,
+        });
+    }
+
+    /// Draws a service time: a log-normal body, times the factors of the faults and of a cold start.
+    fn service_time(&self, now: Instant, rng: &mut dyn Rng) -> Duration {
+        let mut factor = self.faults.slow.max(1.0);
+        let (chance, slow) = self.faults.straggle;
+        if chance > 0.0 && rng.random_bool(chance.min(1.0)) {
+            factor *= slow;
+        }
+        let age = now.saturating_duration_since(self.started);
+        if age < self.settings.cold_time {
+            let left = 1.0 - age.as_secs_f64() / self.settings.cold_time.as_secs_f64();
+            factor *= 1.0 + (self.settings.cold_factor - 1.0) * left;
+        }
+        self.settings.draw_body(rng).mul_f64(factor)
+    }
+
+    /// Ends the requests that are due, and starts queued ones in the slots that become free.
+    fn complete(&mut self, now: Instant, rng: &mut dyn Rng, actions: &mut Vec<Action>) {
+        while let Some(at) = self.first_due(now) {
+            let running = self.running.remove(at);
+            self.counts.busy += running.ends.saturating_duration_since(running.started);
+            actions.push(self.end(running, now));
+            self.start_queued(now, rng, actions);
+        }
+    }
+
+    fn first_due(&self, now: Instant) -> Option<usize> {
+        let due = self.running.iter().enumerate();
+        due.filter(|(_, running)| running.ends <= now)
+            .min_by_key(|(_, running)| (running.ends, running.job.ticket))
+            .map(|(at, _)| at)
+    }
+
+    fn start_queued(&mut self, now: Instant, rng: &mut dyn Rng, actions: &mut Vec<Action>) {
+        while self.running.len() < self.settings.slots as usize {
+            let Some(job) = self.queue.pop_front() else {
+                return;
+            };
+            if now >= job.deadline {
+                self.counts.expired += 1;
+                actions.push(self.reject(&job, 503, true, "the deadline passed in the queue", now));
+            } else if !self.holds(&job.work) {
+                self.counts.retired += 1;
+                actions.push(self.reject(&job, 410, true, "the version was retired", now));
+            } else {
+                self.start(job, now, rng);
+            }
+        }
+    }
+
+    fn end(&mut self, running: Running, now: Instant) -> Action {
+        let Running {
+            job, started, cut, ..
+        } = running;
+        if let Some(reason) = cut {
+            self.counts.cut += 1;
+            return self.reject(&job, 503, false, reason, now);
+        }
+        let reply = match &job.work {
+            Work::Query(request) => {
+                let waited = started.saturating_duration_since(job.arrived);
+                Reply::Query(self.query_reply(request, waited, now))
+            }
+            Work::Run(request) => Reply::Run(RunReply {
+                attempt: request.attempt,
+                state: self.state(now),
+                result: self.items(request.shard, &request.body),
+            }),
+        };
+        Action::Reply(job.ticket, reply)
+    }
+
+    fn cancel(&mut self, attempt: AttemptId, now: Instant, actions: &mut Vec<Action>) {
+        let queued = self
+            .queue
+            .iter()
+            .position(|job| job.work.attempt() == attempt);
+        if let Some(job) = queued.and_then(|at| self.queue.remove(at)) {
+            self.counts.unqueued += 1;
+            actions.push(self.reject(&job, 503, true, "the request was cancelled", now));
+            return;
+        }
+        for running in &mut self.running {
+            let query = matches!(running.job.work, Work::Query(_));
+            if query && running.job.work.attempt() == attempt && running.ends > now + CANCEL_LAG {
+                running.ends = now + CANCEL_LAG;
+                running.cut = Some("the request was cancelled while it ran");
+            }
+        }
+    }
+
+    fn reject(&self, job: &Job, status: u16, not_run: bool, reason: &str, now: Instant) -> Action {
+        Action::Reply(
+            job.ticket,
+            Reply::Reject(Reject {
+                status,
+                not_run,
+                body: RejectReply {
+                    attempt: job.work.attempt(),
+                    reason: reason.into(),
+                    state: self.state(now),
+                    held: self.versions.keys().copied().collect(),
+                },
+            }),
+        )
+    }
+
+    fn query_reply(&self, request: &QueryRequest, waited: Duration, now: Instant) -> QueryReply {
+        let own = self.shards.get(&request.map);
+        let parts = request.shards.iter().map(|&shard| Part {
+            shard,
+            version: request.version,
+            map: request.map,
+            members: own.and_then(|own| own.get(&shard)).copied().unwrap_or(0),
+            items: self.items(shard, &request.body),
+        });
+        QueryReply {
+            attempt: request.attempt,
+            parts: parts.collect(),
+            state: self.state(now),
+            queue_ms: waited.as_millis() as u64,
+            held: self.versions.keys().copied().collect(),
+        }
+    }
+
+    /// Builds result items that repeat the request body, so that an answer can be matched with its request.
+    fn items(&self, shard: ShardId, body: &RawValue) -> Box<RawValue> {
+        let body = body.get();
+        let text = if body.len() <= ECHO_LIMIT {
+            format!(r#"[{{"shard":{shard},"echo":{body}}}]"#)
+        } else {
+            format!(
+                r#"[{{"shard":{shard},"echo":"{:016x}"}}]"#,
+                base::hash_key(body)
+            )
+        };
+        RawValue::from_string(text).unwrap_or_else(|_| RawValue::NULL.to_owned())
+    }
+}
