lab: serve the modelled servers over HTTP/1.1

The runtime and the demo need upstreams on sockets. lab::upstreams runs several modelled servers in one process, each on its own loopback port, with a connection limit that closes further connections at once, a connect delay, and a one-way delay when the caller's x-zone header names another zone.

POST /control/fault switches faults on and off, and /control/counts and /control/runs show what the servers did. They have a port of their own, so that a stopped server can be started again.

--- /dev/null
+++ b/crates/lab/src/control.rs
@@ -0,0 +1,84 @@
+//! The control port of the modelled servers.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::UpstreamId;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use crate::fault::Fault;
+use crate::http_upstream::Answer;
+use crate::http_upstream::json;
+use crate::http_upstream::read_json;
+use crate::http_upstream::text;
+use crate::upstreams::Host;
+use crate::upstreams::count_hosts;
+use crate::upstreams::sum_runs;
+
+type Hosts = Arc<BTreeMap<UpstreamId, Arc<Host>>>;
+
+/// Body of `POST /control/fault`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FaultRequest {
+    /// Servers that the fault concerns; none means all.
+    #[serde(default)]
+    pub servers: Vec<UpstreamId>,
+    /// The fault.
+    pub fault: Fault,
+}
+
+pub(crate) async fn serve(listener: TcpListener, hosts: Hosts) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let hosts = hosts.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let hosts = hosts.clone();
+                async move { Ok::<_, Infallible>(respond(&hosts, request).await) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("lab: a control connection ended early: {error}");
+            }
+        });
+    }
+}
+
+async fn respond(hosts: &Hosts, request: Request<Incoming>) -> Answer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/control/counts") => json(StatusCode::OK, &count_hosts(hosts)),
+        (&Method::GET, "/control/runs") => json(StatusCode::OK, &sum_runs(hosts)),
+        (&Method::POST, "/control/fault") => match read_json(request).await {
+            Ok(body) => inject(hosts, &body),
+            Err(answer) => answer,
+        },
+        _ => text(StatusCode::NOT_FOUND, "no such endpoint"),
+    }
+}
+
+/// Applies a fault to all named servers, or to none when a name is unknown.
+fn inject(hosts: &Hosts, request: &FaultRequest) -> Answer {
+    let unknown = request.servers.iter().find(|id| !hosts.contains_key(*id));
+    if let Some(id) = unknown {
+        return text(StatusCode::NOT_FOUND, &format!("no server is named {id}"));
+    }
+    let concerned = |id: &UpstreamId| request.servers.is_empty() || request.servers.contains(id);
+    for (_, host) in hosts.iter().filter(|(id, _)| concerned(id)) {
+        host.inject(request.fault.clone());
+    }
+    json(StatusCode::OK, &())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,10 @@
 //! Stand-ins for upstreams and the platform, load generation and experiments.
 
+pub mod control;
 pub mod deploy;
 pub mod fault;
+mod http_upstream;
 pub mod report;
 pub mod server;
 pub mod settings;
+pub mod upstreams;
