lab: start a whole deployment in one process and show it as a demo

Users need to see the path from caller to shards without setting anything up. The rig starts the stand-ins and several entry VMs over loopback, and the demo sends queries through it while servers slow down, disappear and change version.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -133,17 +133,27 @@
     }
 
     /// Takes in the state of an index as the platform holds it.
-    pub fn set_index(&self, index: IndexState, nodes: u32) {
-        lock(&self.limits).set_index(&index, nodes);
+    pub fn set_index(&self, index: IndexState) {
+        lock(&self.limits).set_index(&index, self.peers());
         let mut indexes = self.indexes.write().unwrap_or_else(PoisonError::into_inner);
         indexes.insert(index.index.clone(), Arc::new(index));
     }
 
+    /// Returns the number of entry VMs that connect to upstreams.
+    fn peers(&self) -> u32 {
+        18
+    }
+
     /// Returns the state of an index.
     pub fn index(&self, name: &str) -> Option<Arc<IndexState>> {
         self.indexes.read().unwrap_or_else(PoisonError::into_inner).get(name).cloned()
     }
 
+    /// Returns the number of indexes known.
+    pub fn index_count(&self) -> usize {
+        self.indexes.read().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
     /// Looks up an upstream of an index.
     pub fn upstream(&self, index: &str, id: &UpstreamId) -> Option<Upstream> {
         self.index(index)?.upstreams.iter().find(|upstream| upstream.id == *id).cloned()
--- /dev/null
+++ b/crates/lab/src/demo.rs
@@ -0,0 +1,212 @@
+//! The first five minutes of a user: a whole deployment on stand-ins, and what answers say when parts of it fail.
+
+use std::time::Duration;
+
+use base::ShardMap;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+
+use crate::deploy::build_brunner_vaucher;
+use crate::deploy::build_skiasis;
+use crate::fault::Fault;
+use crate::rig::Rig;
+use crate::rig::RigError;
+use crate::rig::write_object;
+
+/// Entry VMs that the demonstration starts for each deployment.
+const NODES: u32 = 6;
+
+/// Seed of the demonstration, so that every run tells the same story.
+const SEED: u64 = 7;
+
+/// Queries that let the entry VMs learn reply times before the first row is shown.
+const WARMUP: u32 = 40;
+
+/// A demonstration on one deployment.
+struct Demo {
+    rig: Rig,
+    http: Client<hyper_util::client::legacy::connect::HttpConnector, Full<Bytes>>,
+    json: bool,
+    sent: usize,
+}
+
+/// Runs the demonstration on both example deployments; `json` prints one JSON object per answer.
+pub async fn run_demo(json: bool) -> Result<(), RigError> {
+    let rig = Rig::start(build_brunner_vaucher(SEED), NODES, SEED).await?;
+    let mut demo = Demo::new(rig, json);
+    demo.show_latency_first().await?;
+    demo.rig.stop().await?;
+    let rig = Rig::start(build_skiasis(SEED), NODES, SEED).await?;
+    let mut demo = Demo::new(rig, json);
+    demo.show_coverage_first().await?;
+    demo.rig.stop().await
+}
+
+impl Demo {
+    fn new(rig: Rig, json: bool) -> Demo {
+        Demo { rig, http: Client::builder(TokioExecutor::new()).build_http(), json, sent: 0 }
+    }
+
+    /// Funeral plans: an answer has to come early, and may leave out the last shards.
+    async fn show_latency_first(&mut self) -> Result<(), RigError> {
+        self.title("Brunner-Vaucher: advisers search the 30 shards of plan-desk (latency first)");
+        self.warm_up("advisers").await?;
+        self.ask("all servers are healthy", "advisers").await?;
+        self.rig.fleet.inject("plan-desk-0", Fault::Slow { factor: 40.0 });
+        self.ask("server plan-desk-0 is 40 times slower", "advisers").await?;
+        self.rig.fleet.inject("plan-desk-1", Fault::Stop);
+        self.ask("server plan-desk-1 is also lost", "advisers").await?;
+        self.rig.fleet.inject("plan-desk-0", Fault::Clear);
+        self.rig.fleet.inject("plan-desk-1", Fault::Clear);
+        self.move_version("plan-desk").await?;
+        self.ask("the index has moved to a new version", "advisers").await?;
+        self.note("A request that may not be repeated runs at most once:");
+        self.post_twice("instalments", "post-instalment").await
+    }
+
+    /// Blackout fabric: an answer should be complete, and says which members it lacks.
+    async fn show_coverage_first(&mut self) -> Result<(), RigError> {
+        self.title("Skiasis: workshops search the 30 shards of offcut-desk (coverage first)");
+        self.warm_up("offcuts").await?;
+        self.ask("all servers are healthy", "offcuts").await?;
+        let lost = self.replicas("offcut-desk", 3);
+        for server in &lost {
+            self.rig.fleet.inject(server, Fault::Stop);
+        }
+        self.ask("all replicas of shard 3 are lost", "offcuts").await?;
+        for server in &lost {
+            self.rig.fleet.inject(server, Fault::Clear);
+        }
+        self.ask("the replicas are back", "offcuts").await
+    }
+
+    fn replicas(&self, index: &str, shard: u32) -> Vec<base::UpstreamId> {
+        let state = self.rig.deployment.index(index).map(|index| &index.state);
+        let shard = state.and_then(|state| state.maps.last()?.shard(shard));
+        shard.map(|shard| shard.replicas.clone()).unwrap_or_default()
+    }
+
+    async fn warm_up(&mut self, service: &str) -> Result<(), RigError> {
+        for _ in 0..WARMUP {
+            self.call(service, "search", None).await?;
+        }
+        Ok(())
+    }
+
+    /// Adds a version to an index, first at the servers and then in the platform, and retires the old one.
+    async fn move_version(&mut self, index: &str) -> Result<(), RigError> {
+        let Some(index) = self.rig.deployment.indexes.iter_mut().find(|at| at.state.index == index) else {
+            return Ok(());
+        };
+        let Some(map) = index.state.maps.last_mut() else { return Ok(()) };
+        let old = map.versions.last().copied().unwrap_or(0);
+        map.versions.push(old + 1);
+        let map: ShardMap = map.clone();
+        for server in &index.servers {
+            self.rig.fleet.inject(&server.id, Fault::Hold { map: map.clone() });
+        }
+        let state = index.state.clone();
+        write_object(&self.rig.store, "index", &state.index, &state).await?;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for server in &state.upstreams {
+            self.rig.fleet.inject(&server.id, Fault::Retire { version: old });
+        }
+        Ok(())
+    }
+
+    async fn ask(&mut self, what: &str, service: &str) -> Result<(), RigError> {
+        let answer = self.call(service, "search", None).await?;
+        self.print(what, service, "search", &answer);
+        Ok(())
+    }
+
+    async fn post_twice(&mut self, service: &str, request: &str) -> Result<(), RigError> {
+        let key = format!("demo-{SEED}");
+        let first = self.call(service, request, Some(&key)).await?;
+        self.print("first call", service, request, &first);
+        let second = self.call(service, request, Some(&key)).await?;
+        self.print("same key, through another VM", service, request, &second);
+        let runs = self.rig.fleet.runs().get(key.as_str()).copied().unwrap_or(0);
+        self.note(&format!("the servers ran it {runs} time(s)"));
+        Ok(())
+    }
+
+    /// Sends a request to the next entry VM, as a balancer does.
+    async fn call(&mut self, service: &str, request: &str, key: Option<&str>) -> Result<Value, RigError> {
+        let entry = &self.rig.entries[self.sent % self.rig.entries.len()];
+        self.sent += 1;
+        let uri = format!("http://{}/v1/services/{service}/requests/{request}", entry.addr());
+        let mut builder = Request::builder()
+            .method(Method::POST)
+            .uri(uri)
+            .header(http::header::CONTENT_TYPE, "application/json");
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let body = r#"{"body":{"text":"oak"},"explain":true}"#;
+        let request = builder.body(Full::new(Bytes::from_static(body.as_bytes()))).map_err(RigError::new)?;
+        let response = self.http.request(request).await.map_err(RigError::new)?;
+        let body = response.into_body().collect().await.map_err(RigError::new)?.to_bytes();
+        serde_json::from_slice(&body).map_err(RigError::new)
+    }
+
+    fn title(&self, text: &str) {
+        if self.json {
+            return;
+        }
+        println!("\n{text}\n");
+        println!(
+            "{:<40} {:<9} {:>4}  {:>8} {:>14}  {:>8}  {:>8} {:>6}  missing shards",
+            "situation", "outcome", "code", "shards", "members", "snapshot", "attempts", "ms"
+        );
+    }
+
+    fn note(&self, text: &str) {
+        if !self.json {
+            println!("  {text}");
+        }
+    }
+
+    fn print(&self, what: &str, service: &str, request: &str, answer: &Value) {
+        if self.json {
+            println!(
+                "{}",
+                serde_json::json!({
+                    "situation": what, "service": service, "request": request, "answer": answer,
+                })
+            );
+            return;
+        }
+        let coverage = &answer["coverage"];
+        let explanation = &answer["explanation"];
+        let snapshot = &explanation["snapshot"];
+        let version = snapshot["version"].as_u64().map_or("-".to_owned(), |version| {
+            format!("v{version}/m{}", snapshot["map"])
+        });
+        println!(
+            "{what:<40} {:<9} {:>4}  {:>8} {:>14}  {version:>8}  {:>8} {:>6}  {}",
+            answer["outcome"].as_str().unwrap_or("-"),
+            answer["code"],
+            format!("{}/{}", coverage["answered"], coverage["shards"]),
+            format!("{}/{}", coverage["covered"], coverage["members"]),
+            explanation["attempts"],
+            explanation["elapsed_ms"],
+            describe_missing(&coverage["missing"]),
+        );
+    }
+}
+
+fn describe_missing(missing: &Value) -> String {
+    let shards = missing.as_array().map(Vec::as_slice).unwrap_or_default();
+    let words: Vec<String> = shards
+        .iter()
+        .map(|shard| format!("{} ({})", shard["shard"], shard["reason"].as_str().unwrap_or("-")))
+        .collect();
+    if words.is_empty() { "none".into() } else { words.join(", ") }
+}
--- /dev/null
+++ b/crates/lab/src/rig.rs
@@ -0,0 +1,191 @@
+//! A whole deployment in one process: stand-ins of platform and upstreams, and several entry VMs, over loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Vm;
+use base::VmRole;
+use base::VmState;
+use compact_str::format_compact;
+use decl::Catalogue;
+use decl::Declaration;
+use decl::Entry as CatalogueEntry;
+use decl::parse_declaration;
+use entry::Entry;
+use entry::Settings;
+use entry::start_entry;
+use include_dir::Dir;
+use include_dir::include_dir;
+use snafu::Snafu;
+use store::Client;
+use store::ClientOptions;
+use store::Put;
+
+use crate::deploy::Deployment;
+use crate::platform::Platform;
+use crate::platform::serve_platform;
+use crate::upstreams::Fleet;
+use crate::upstreams::Options;
+
+static EXAMPLES: Dir<'_> = include_dir!("$CARGO_MANIFEST_DIR/../../examples");
+
+/// Time for which an entry VM of a rig serves on after its readiness check fails.
+const NOTICE: Duration = Duration::from_millis(100);
+
+/// Longest wait until every entry VM is ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A rig cannot be started.
+#[derive(Debug, Snafu)]
+#[snafu(display("lab: {reason}"))]
+pub struct RigError {
+    reason: String,
+}
+
+impl RigError {
+    /// Wraps the error of a part.
+    pub fn new(reason: impl ToString) -> RigError {
+        RigError { reason: reason.to_string() }
+    }
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Rig {
+    /// The deployment, with the addresses that were bound.
+    pub deployment: Deployment,
+    /// Stand-in of the platform.
+    pub platform: Platform,
+    /// Stand-ins of the upstreams.
+    pub fleet: Fleet,
+    /// Entry VMs.
+    pub entries: Vec<Entry>,
+    /// Client by which the data owners write to the platform.
+    pub store: Client,
+}
+
+impl Rig {
+    /// Starts a deployment with `nodes` entry VMs, spread over its zones, and publishes its example declarations.
+    pub async fn start(mut deployment: Deployment, nodes: u32, seed: u64) -> Result<Rig, RigError> {
+        let platform =
+            serve_platform(loopback(), Duration::ZERO).await.map_err(RigError::new)?;
+        let options = Options { seed, delays: Default::default(), control: loopback() };
+        let fleet = Fleet::start(&mut deployment, options).await.map_err(RigError::new)?;
+        let store = Client::new(ClientOptions::new(platform.addr(), seed));
+        register_indexes(&store, &deployment).await?;
+        publish_examples(&store, &deployment.name).await?;
+        let mut rig = Rig { deployment, platform, fleet, entries: Vec::new(), store };
+        for number in 0..nodes {
+            rig.start_entry(number, seed).await?;
+        }
+        rig.wait_until_ready().await?;
+        Ok(rig)
+    }
+
+    /// Starts one more entry VM.
+    pub async fn start_entry(&mut self, number: u32, seed: u64) -> Result<(), RigError> {
+        let zones = &self.deployment.zones;
+        let zone = zones[number as usize % zones.len()].clone();
+        let node = format_compact!("{zone}-{}", number as usize / zones.len() + 1);
+        let settings = Settings {
+            node: node.clone(),
+            zone: zone.clone(),
+            region: self.deployment.region.clone(),
+            listen: loopback(),
+            peer: loopback(),
+            platform: self.platform.addr(),
+            seeds: Vec::new(),
+            body_limit: 1 << 20,
+            query_limit: 512,
+            notice: NOTICE,
+            statsd: None,
+        };
+        let region = settings.region.clone();
+        let entry = start_entry(settings, seed.wrapping_add(u64::from(number) + 1))
+            .await
+            .map_err(RigError::new)?;
+        self.platform.put_vm(Vm {
+            id: node,
+            role: VmRole::Entry,
+            addr: entry.addr(),
+            zone,
+            region,
+            state: VmState::Live,
+        });
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Waits until every entry VM has a configuration and every index.
+    pub async fn wait_until_ready(&self) -> Result<(), RigError> {
+        let indexes = self.deployment.indexes.len();
+        let ready = async {
+            for entry in &self.entries {
+                while entry.node().readiness().is_err() || entry.node().index_count() < indexes {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        };
+        tokio::time::timeout(READY_TIMEOUT, ready)
+            .await
+            .map_err(|_| RigError::new("an entry VM did not become ready"))
+    }
+
+    /// Stops the entry VMs and the stand-ins.
+    pub async fn stop(self) -> Result<(), RigError> {
+        for entry in self.entries {
+            entry.stop().await.map_err(RigError::new)?;
+        }
+        self.platform.close().await.map_err(RigError::new)
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Writes the indexes of a deployment to the platform, as its data owners do.
+pub async fn register_indexes(store: &Client, deployment: &Deployment) -> Result<(), RigError> {
+    for index in &deployment.indexes {
+        write_object(store, "index", &index.state.index, &index.state).await?;
+    }
+    Ok(())
+}
+
+/// Returns the example declarations of a deployment as pairs of file name and text.
+pub fn list_examples(deployment: &str) -> Vec<(&'static str, &'static str)> {
+    let files = EXAMPLES.get_dir(deployment).map(|dir| dir.files()).into_iter().flatten();
+    files
+        .filter_map(|file| Some((file.path().file_name()?.to_str()?, file.contents_utf8()?)))
+        .filter(|(name, _)| name.ends_with(".toml"))
+        .collect()
+}
+
+/// Publishes the example declarations of a deployment.
+async fn publish_examples(store: &Client, deployment: &str) -> Result<(), RigError> {
+    let mut catalogue = Catalogue { revision: 1, publish: "example".into(), ..Catalogue::default() };
+    for (file, text) in list_examples(deployment) {
+        let declaration: Declaration =
+            parse_declaration(file, text).map_err(|faults| RigError::new(&faults[0]))?;
+        let entry = CatalogueEntry { file: file.into(), changed: 1, declaration };
+        catalogue.entries.insert(entry.declaration.service.clone(), entry);
+    }
+    write_object(store, "config", "catalogue", &catalogue).await
+}
+
+/// Writes an object over whatever version the platform has.
+pub async fn write_object<T: serde::Serialize>(
+    store: &Client,
+    kind: &str,
+    name: &str,
+    value: &T,
+) -> Result<(), RigError> {
+    let mut version = 0;
+    loop {
+        match store.put_if(kind, name, version, value).await {
+            Put::Applied(_) => return Ok(()),
+            Put::Conflict(current) => version = current,
+            Put::Refused(error) | Put::Unknown(error) => return Err(RigError::new(error)),
+        }
+    }
+}
