limit: ignore late reports of held versions

A reply that was sent before a newer one and arrives after it would undo what is known of the versions an upstream holds. The gate now keeps when the request of the last report was sent. A service also starts with five tokens of each kind, or a new node could not replace a lost reply before fifty others completed.

--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -5,16 +5,28 @@
 /// A query over 520 shards may use 3% of that for hedges at once; 50 tokens allow three such queries in a burst.
 const MAX_TOKENS: f64 = 50.0;
 
+/// Tokens of each kind that a service starts with, so that a new node can replace a lost reply before any completed.
+const FIRST_TOKENS: f64 = 5.0;
+
 /// Tokens that bound the extra load of one service.
 ///
 /// Only primaries that complete earn tokens. When everything is slow nothing is earned, so hedging and retrying stop
 /// by themselves instead of adding load.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Budget {
     hedges: f64,
     retries: f64,
 }
 
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget {
+            hedges: FIRST_TOKENS,
+            retries: FIRST_TOKENS,
+        }
+    }
+}
+
 impl Budget {
     /// Credits one primary that completed, at the declared fractions.
     pub fn earn(&mut self, hedge_rate: f64, retry_rate: f64) {
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -94,6 +94,7 @@
     paused: Option<Instant>,
     trial: bool,
     held: Option<Box<[IndexVersion]>>,
+    held_sent: Option<Instant>,
 }
 
 impl Gate {
@@ -116,6 +117,7 @@
             paused: None,
             trial: false,
             held: None,
+            held_sent: None,
         }
     }
 
@@ -189,7 +191,12 @@
         self.held.as_deref()
     }
 
-    pub(crate) fn learn_held(&mut self, held: &[IndexVersion]) {
+    /// Takes in the versions given in a reply to a request sent at `sent`; an older reply that arrives late is ignored.
+    pub(crate) fn learn_held(&mut self, held: &[IndexVersion], sent: Instant) {
+        if self.held_sent.is_some_and(|known| sent < known) {
+            return;
+        }
+        self.held_sent = Some(sent);
         if self.held.as_deref() != Some(held) {
             self.held = Some(held.into());
         }
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -179,10 +179,10 @@
         }
     }
 
-    /// Takes in the index versions that an upstream said it holds.
-    pub fn learn_held(&mut self, key: GateKey, held: &[IndexVersion]) {
+    /// Takes in the index versions that an upstream said it holds, in reply to a request sent at `sent`.
+    pub fn learn_held(&mut self, key: GateKey, held: &[IndexVersion], sent: Instant) {
         if let Some(gate) = self.gates.get_mut(key) {
-            gate.learn_held(held);
+            gate.learn_held(held, sent);
         }
     }
 
@@ -204,25 +204,17 @@
 
     /// Credits the budget of a service for one primary that completed.
     pub fn earn(&mut self, service: &ServiceName, hedge_rate: f64, retry_rate: f64) {
-        if let Some(budget) = self.budgets.get_mut(service) {
-            budget.earn(hedge_rate, retry_rate);
-            return;
-        }
-        let mut budget = Budget::default();
-        budget.earn(hedge_rate, retry_rate);
-        self.budgets.insert(service.clone(), budget);
+        self.budget_mut(service).earn(hedge_rate, retry_rate);
     }
 
     /// Takes the token for one hedge of a service, if there is one.
     pub fn take_hedge(&mut self, service: &ServiceName) -> bool {
-        let budget = self.budgets.get_mut(service);
-        !self.tuning.budget || budget.is_some_and(Budget::take_hedge)
+        !self.tuning.budget || self.budget_mut(service).take_hedge()
     }
 
     /// Takes the token for one retry of a service, if there is one.
     pub fn take_retry(&mut self, service: &ServiceName) -> bool {
-        let budget = self.budgets.get_mut(service);
-        !self.tuning.budget || budget.is_some_and(Budget::take_retry)
+        !self.tuning.budget || self.budget_mut(service).take_retry()
     }
 
     /// Removes the budgets of services that are no longer declared.
@@ -230,6 +222,10 @@
         self.budgets.retain(|service, _| keep(service));
     }
 
+    fn budget_mut(&mut self, service: &ServiceName) -> &mut Budget {
+        self.budgets.entry(service.clone()).or_default()
+    }
+
     fn find_distance(&self, upstream: &Upstream) -> Distance {
         if upstream.zone == self.zone {
             Distance::Zone
