query: bind, hedge, retry and restart within limits and budgets

The machine sent each sub-request once, to a random replica, at the newest version. One slow or draining replica decided the answer, and a version that few upstreams hold lost most shards.

The explanation gives attempts and the reason for each missing shard. Each mechanism has a switch in Tuning.

--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -45,10 +45,12 @@
     pub shard: ShardId,
     /// Why it is missing.
     pub reason: MissingReason,
+    /// Sub-requests that were sent for it on the bound snapshot.
+    pub attempts: u32,
 }
 
 /// Why a shard is not in an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MissingReason {
     /// No reply came before the answer was given.
@@ -59,6 +61,12 @@
     Retired,
     /// Every replica shed the work.
     Shed,
+    /// The limits of this node let no sub-request through in time.
+    Limited,
+    /// Every replica that could serve it is draining.
+    Draining,
+    /// The reply was lost or not valid, and no other attempt was possible.
+    Lost,
 }
 
 /// Compact record of how an answer came about; see `docs/design.md`, section 5.
@@ -90,7 +98,17 @@
     pub retries: u32,
     /// Restarts on another snapshot.
     pub restarts: u32,
-    /// Replies dropped because they did not match.
+    /// Snapshots that the restarts gave up, in order.
+    pub abandoned: Vec<Snapshot>,
+    /// Sub-requests whose reply was not awaited: losers of hedges, restarts, and those outstanding at the end.
+    pub cancelled: u32,
+    /// Sub-requests that were proved not run.
+    pub not_run: u32,
+    /// Sub-requests whose reply was lost or not valid.
+    pub lost: u32,
+    /// Times that a sub-request was put off because of the limits of this node.
+    pub postponed: u32,
+    /// Parts dropped because they were late, duplicate or did not match; a reply without any counts as one.
     pub dropped: u32,
     /// Time allowed, in milliseconds.
     pub deadline_ms: u64,
--- /dev/null
+++ b/crates/query/src/attempt.rs
@@ -0,0 +1,117 @@
+//! Inputs and outputs of the query state machine.
+
+use std::time::Instant;
+
+use base::AttemptId;
+use base::IndexState;
+use base::IndexVersion;
+use base::QueryReply;
+use base::ShardId;
+use base::Snapshot;
+use base::UpstreamId;
+use limit::Limits;
+use rand::Rng;
+
+use crate::Answer;
+
+/// What a query borrows from its node while it handles an event.
+pub struct Env<'a> {
+    /// The index that the query reads.
+    pub index: &'a IndexState,
+    /// Gates and budgets of the node; upstreams without a gate are not used.
+    pub limits: &'a mut Limits,
+    /// Source of attempt ids, unique on this node.
+    pub next_attempt: &'a mut AttemptId,
+    /// Random generator, seeded by the caller.
+    pub rng: &'a mut dyn Rng,
+}
+
+impl std::fmt::Debug for Env<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Env")
+            .field("index", &self.index.index)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Why a sub-request is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The first one for its shard.
+    Primary,
+    /// In parallel to one whose reply is late.
+    Hedge,
+    /// In place of one that failed.
+    Retry,
+}
+
+/// One sub-request to one upstream.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    /// Identifies the sub-request.
+    pub id: AttemptId,
+    /// Why it is sent.
+    pub kind: Kind,
+    /// Upstream to ask.
+    pub upstream: UpstreamId,
+    /// Shard to ask for.
+    pub shard: ShardId,
+    /// Snapshot to read.
+    pub snapshot: Snapshot,
+    /// Moment after which the reply is of no use.
+    pub deadline: Instant,
+}
+
+/// Why a sub-request has no reply.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Failure {
+    /// The upstream shed the request and proved that it was not run.
+    NotRun,
+    /// The upstream refused the connection, so nothing was written: evidence of its connection limit.
+    Refused,
+    /// The connection failed before the request was written.
+    Unreachable,
+    /// The upstream rejected the index version or the map before running; it lists the versions that it holds.
+    Retired(Vec<IndexVersion>),
+    /// The connection broke or the reply was not valid; the request may have run.
+    Lost,
+}
+
+impl Failure {
+    /// Tells whether the failure proves that the request was not run.
+    pub fn proves_not_run(&self) -> bool {
+        match self {
+            Failure::NotRun | Failure::Refused | Failure::Unreachable | Failure::Retired(_) => true,
+            Failure::Lost => false,
+        }
+    }
+}
+
+/// An input of the state machine.
+#[derive(Debug)]
+pub enum Event {
+    /// The query was admitted.
+    Start,
+    /// An upstream replied.
+    ///
+    /// For a request that is not repeatable, the runtime builds the one part from the reply to `POST /v1/run` and the
+    /// snapshot of the attempt.
+    Reply(QueryReply),
+    /// A sub-request failed.
+    Failed(AttemptId, Failure),
+    /// A requested moment has come, or a gate has a place free.
+    Wake,
+}
+
+/// An output of the state machine.
+#[derive(Debug)]
+pub enum Action {
+    /// Send a sub-request.
+    Send(Attempt),
+    /// Tell the upstream that the reply is not needed, and release what the attempt holds.
+    Cancel(AttemptId),
+    /// Call back with [`Event::Wake`] at this moment or later.
+    WakeAt(Instant),
+    /// Give the answer; the last action of a query.
+    Finish(Box<Answer>),
+}
--- a/crates/query/src/machine.rs
+++ b/crates/query/src/machine.rs
@@ -1,122 +1,69 @@
-//! The query state machine.
+//! The query state machine: how events change it, and when it ends.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use base::AttemptId;
-use base::Code;
-use base::IndexState;
 use base::IndexVersion;
-use base::Outcome;
 use base::Part;
 use base::QueryReply;
 use base::ShardId;
 use base::Snapshot;
-use base::UpstreamId;
-use compact_str::format_compact;
-use rand::Rng;
+use decl::Prefer;
+use limit::Ending;
+use limit::Limits;
 
-use crate::Answer;
-use crate::Coverage;
-use crate::Explanation;
-use crate::Missing;
+use crate::Action;
+use crate::Env;
+use crate::Event;
+use crate::Failure;
+use crate::Kind;
 use crate::MissingReason;
 use crate::Plan;
+use crate::bind::Reach;
+use crate::bind::choose_binding;
+use crate::finish::is_above_minimum;
+use crate::shard::Progress;
+use crate::shard::Sent;
+use crate::shard::ShardState;
 
-/// What a query borrows from its node while it handles an event.
-pub struct Env<'a> {
-    /// The index that the query reads.
-    pub index: &'a IndexState,
-    /// Source of attempt ids, unique on this node.
-    pub next_attempt: &'a mut AttemptId,
-    /// Random generator, seeded by the caller.
-    pub rng: &'a mut dyn Rng,
-}
-
-impl std::fmt::Debug for Env<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Env")
-            .field("index", &self.index.index)
-            .finish_non_exhaustive()
-    }
-}
+/// Restarts on another snapshot; each sends every sub-request again, so that few must do.
+const MAX_RESTARTS: u32 = 2;
 
-/// One sub-request to one upstream.
-#[derive(Debug, Clone)]
-pub struct Attempt {
-    /// Identifies the sub-request.
-    pub id: AttemptId,
-    /// Upstream to ask.
-    pub upstream: UpstreamId,
-    /// Shard to ask for.
-    pub shard: ShardId,
-    /// Snapshot to read.
-    pub snapshot: Snapshot,
-    /// Moment after which the reply is of no use.
-    pub deadline: Instant,
-}
-
-/// Why a sub-request has no reply.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Failure {
-    /// The upstream or the connection proved that the request was not run.
-    NotRun,
-    /// The upstream does not hold the index version; it lists those that it holds.
-    Retired(Vec<IndexVersion>),
-    /// The connection broke or the reply was not valid; the request may have run.
-    Lost,
-}
-
-/// An input of the state machine.
-#[derive(Debug)]
-pub enum Event {
-    /// The query was admitted.
-    Start,
-    /// An upstream replied.
-    Reply(QueryReply),
-    /// A sub-request failed.
-    Failed(AttemptId, Failure),
-    /// A requested moment has come.
-    Wake,
-}
-
-/// An output of the state machine.
-#[derive(Debug)]
-pub enum Action {
-    /// Send a sub-request.
-    Send(Attempt),
-    /// Tell the upstream that the reply is not needed, and release what the attempt holds.
-    Cancel(AttemptId),
-    /// Call back with [`Event::Wake`] at this moment or later.
-    WakeAt(Instant),
-    /// Give the answer; the last action of a query.
-    Finish(Box<Answer>),
-}
-
-/// State of one shard of the query.
-#[derive(Debug)]
-enum Progress {
-    Waiting(AttemptId),
-    Answered(Part),
-    Missing(MissingReason),
-}
-
-impl Progress {
-    fn is_waiting_for(&self, attempt: AttemptId) -> bool {
-        matches!(self, Progress::Waiting(id) if *id == attempt)
-    }
+/// What happened so far, for the explanation.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) attempts: u32,
+    pub(crate) hedges: u32,
+    pub(crate) retries: u32,
+    pub(crate) cancelled: u32,
+    pub(crate) not_run: u32,
+    pub(crate) lost: u32,
+    pub(crate) postponed: u32,
+    pub(crate) dropped: u32,
 }
 
 /// The state machine of one query.
+///
+/// It is bound to one snapshot at a time, and parts of any other are dropped. Every permit that it takes from
+/// [`Limits`] is given back by the time it finishes, or by [`Query::abandon`].
 #[derive(Debug)]
 pub struct Query {
-    plan: Plan,
-    started: Instant,
-    snapshot: Option<Snapshot>,
-    shards: BTreeMap<ShardId, Progress>,
-    members: BTreeMap<ShardId, u64>,
-    attempts: u32,
-    dropped: u32,
+    pub(crate) plan: Plan,
+    pub(crate) started: Instant,
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) abandoned: Vec<Snapshot>,
+    pub(crate) shards: BTreeMap<ShardId, ShardState>,
+    pub(crate) attempts: BTreeMap<AttemptId, Sent>,
+    pub(crate) counts: Counts,
+    pub(crate) too_late: bool,
+    pub(crate) timers: BTreeSet<(Instant, ShardId)>,
+    open: usize,
+    members: u64,
+    covered: u64,
+    wake: Option<Instant>,
+    begun: bool,
     done: bool,
 }
 
@@ -127,194 +74,361 @@
             plan,
             started: now,
             snapshot: None,
+            abandoned: Vec::new(),
             shards: BTreeMap::new(),
-            members: BTreeMap::new(),
-            attempts: 0,
-            dropped: 0,
+            attempts: BTreeMap::new(),
+            counts: Counts::default(),
+            too_late: false,
+            timers: BTreeSet::new(),
+            open: 0,
+            members: 0,
+            covered: 0,
+            wake: None,
+            begun: false,
             done: false,
         }
     }
 
+    /// Returns what the query is asked to do.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Tells whether the query has given its answer or was abandoned.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Returns the parts dropped so far, including those that came after the answer.
+    pub fn dropped(&self) -> u32 {
+        self.counts.dropped
+    }
+
     /// Advances the state machine by one event.
+    ///
+    /// An event at or after the deadline ends the query before it is looked at: a paused process must neither count a
+    /// part that came too late nor send anything.
     pub fn handle(&mut self, event: Event, now: Instant, env: &mut Env<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
-        if self.done {
-            return actions;
+        if let Event::Reply(reply) = &event {
+            self.learn(reply, now, env.limits);
+        }
+        if !self.done && self.begun && now >= self.plan.deadline {
+            self.finish(now, env.limits, &mut actions);
         }
         match event {
-            Event::Start => self.start(env, &mut actions),
-            Event::Reply(reply) => self.receive(reply),
-            Event::Failed(attempt, failure) => self.fail(attempt, failure),
-            Event::Wake => {}
+            Event::Reply(reply) => self.receive(reply, now, env, &mut actions),
+            _ if self.done => {}
+            Event::Start => self.start(now, env, &mut actions),
+            Event::Failed(id, failure) => self.fail(id, failure, now, env, &mut actions),
+            Event::Wake => self.run_timers(now, env, &mut actions),
+        }
+        if !self.done && self.begun {
+            if self.is_due(now) {
+                self.finish(now, env.limits, &mut actions);
+            } else {
+                self.request_wake(now, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Gives the query up without an answer, because its caller is gone; returns what to cancel.
+    pub fn abandon(&mut self, now: Instant, limits: &mut Limits) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.done {
+            self.done = true;
+            self.cancel_all(now, limits, &mut actions);
         }
-        self.finish_if_due(now, &mut actions);
         actions
     }
 
-    fn start(&mut self, env: &mut Env<'_>, actions: &mut Vec<Action>) {
-        let Some(map) = env.index.maps.last() else {
+    fn start(&mut self, now: Instant, env: &mut Env<'_>, actions: &mut Vec<Action>) {
+        if self.begun {
             return;
-        };
-        let Some(&version) = map.versions.last() else {
+        }
+        self.begun = true;
+        if now >= self.plan.deadline {
+            self.too_late = true;
             return;
-        };
-        let snapshot = Snapshot {
-            version,
-            map: map.map,
-        };
-        self.snapshot = Some(snapshot);
-        for shard in map
-            .shards
-            .iter()
-            .filter(|shard| self.plan.shards.contains(shard))
-        {
-            self.members.insert(shard.id, shard.members);
-            let Some(upstream) = pick_replica(&shard.replicas, env.rng) else {
-                self.shards
-                    .insert(shard.id, Progress::Missing(MissingReason::NoReplica));
-                continue;
-            };
-            *env.next_attempt += 1;
-            let id = *env.next_attempt;
-            self.attempts += 1;
-            self.shards.insert(shard.id, Progress::Waiting(id));
-            let deadline = self.plan.deadline;
-            actions.push(Action::Send(Attempt {
-                id,
-                upstream: upstream.clone(),
-                shard: shard.id,
-                snapshot,
-                deadline,
-            }));
         }
-        actions.push(Action::WakeAt(self.plan.deadline));
+        if let Some(binding) = choose_binding(&self.plan, env.index, env.limits, now) {
+            self.bind(binding, now, env, actions);
+        }
     }
 
-    fn receive(&mut self, reply: QueryReply) {
-        let attempt = reply.attempt;
-        for part in reply.parts {
-            let expected = Some(Snapshot {
-                version: part.version,
-                map: part.map,
-            }) == self.snapshot;
-            match self.shards.get_mut(&part.shard) {
-                Some(progress) if expected && progress.is_waiting_for(attempt) => {
-                    *progress = Progress::Answered(part);
-                }
-                _ => self.dropped += 1,
+    /// Takes in what a reply says about its upstream; a late reply is as good for that as any other.
+    fn learn(&mut self, reply: &QueryReply, now: Instant, limits: &mut Limits) {
+        if let Some(sent) = self.attempts.get(&reply.attempt) {
+            limits.note_state(sent.key, reply.state, sent.sent, now);
+            if !reply.held.is_empty() {
+                limits.learn_held(sent.key, &reply.held, sent.sent);
             }
         }
     }
 
-    fn fail(&mut self, attempt: AttemptId, failure: Failure) {
-        let reason = match failure {
-            Failure::NotRun => MissingReason::Shed,
-            Failure::Retired(_) => MissingReason::Retired,
-            Failure::Lost => MissingReason::NoReplica,
+    fn receive(
+        &mut self,
+        reply: QueryReply,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let id = reply.attempt;
+        let sent = self.attempts.get_mut(&id);
+        let Some((shard, kind, permit)) =
+            sent.and_then(|sent| Some((sent.shard, sent.kind, sent.permit.take()?)))
+        else {
+            self.counts.dropped += reply.parts.len().max(1) as u32;
+            return;
         };
-        for progress in self.shards.values_mut() {
-            if progress.is_waiting_for(attempt) {
-                *progress = Progress::Missing(reason);
+        let mut matching = None;
+        for part in reply.parts {
+            if matching.is_none() && self.is_expected(&part, shard) {
+                matching = Some(part);
+            } else {
+                self.counts.dropped += 1;
             }
         }
+        self.remove_live(shard, id);
+        let Some(part) = matching else {
+            env.limits.release(permit, Ending::Failed, now);
+            self.counts.lost += 1;
+            self.replace(shard, MissingReason::Lost, false, now, env, actions);
+            return;
+        };
+        env.limits.release(permit, Ending::Replied, now);
+        if kind == Kind::Primary && self.abandoned.is_empty() {
+            let policy = &self.plan.policy;
+            env.limits
+                .earn(&self.plan.service, policy.hedge_budget, policy.retry_budget);
+        }
+        self.cancel_shard(shard, now, env.limits, actions);
+        self.close(shard, Progress::Answered(part));
+    }
+
+    fn is_expected(&self, part: &Part, shard: ShardId) -> bool {
+        let snapshot = Snapshot {
+            version: part.version,
+            map: part.map,
+        };
+        part.shard == shard && Some(snapshot) == self.snapshot
+    }
+
+    fn fail(
+        &mut self,
+        id: AttemptId,
+        failure: Failure,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(sent) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        let (shard, key, sent_at) = (sent.shard, sent.key, sent.sent);
+        if let Failure::Retired(held) = &failure {
+            env.limits.learn_held(key, held, sent_at);
+        }
+        let Some(permit) = sent.permit.take() else {
+            return;
+        };
+        let not_run = failure.proves_not_run();
+        if not_run {
+            self.counts.not_run += 1;
+        } else {
+            self.counts.lost += 1;
+        }
+        let (ending, reason) = match failure {
+            Failure::NotRun => (Ending::Shed, MissingReason::Shed),
+            Failure::Refused => (Ending::Refused, MissingReason::Limited),
+            Failure::Unreachable => (Ending::Failed, MissingReason::NoReplica),
+            Failure::Retired(_) => (Ending::Rejected, MissingReason::Retired),
+            Failure::Lost => (Ending::Failed, MissingReason::Lost),
+        };
+        env.limits.release(permit, ending, now);
+        self.remove_live(shard, id);
+        if reason == MissingReason::Retired
+            && let Some(state) = self.shards.get_mut(&shard)
+        {
+            state.exclude(key);
+        }
+        self.replace(shard, reason, not_run, now, env, actions);
+        if reason == MissingReason::Retired {
+            self.restart_if_better(shard, now, env, actions);
+        }
     }
 
-    fn finish_if_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let waiting = self
+    /// Restarts as a whole when a shard lost its snapshot and another one can serve more than the bound one still can.
+    ///
+    /// Every part is given up, since parts of two snapshots must not be mixed.
+    fn restart_if_better(
+        &mut self,
+        shard: ShardId,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let missing = self
             .shards
-            .values()
-            .any(|progress| matches!(progress, Progress::Waiting(_)));
-        if waiting && now < self.plan.deadline {
+            .get(&shard)
+            .is_some_and(|state| matches!(state.progress, Progress::Missing(_)));
+        if !missing || !self.may_restart(now) {
             return;
         }
-        self.done = true;
-        for progress in self.shards.values_mut() {
-            if let Progress::Waiting(id) = progress {
-                actions.push(Action::Cancel(*id));
-                *progress = Progress::Missing(MissingReason::Deadline);
-            }
+        let (Some(bound), Some(binding)) = (
+            self.snapshot,
+            choose_binding(&self.plan, env.index, env.limits, now),
+        ) else {
+            return;
+        };
+        let current = self.measure_reach(bound.version, env.limits, now);
+        if binding.snapshot != bound && binding.reach.exceeds(&current) {
+            self.cancel_all(now, env.limits, actions);
+            self.abandoned.push(bound);
+            self.bind(binding, now, env, actions);
         }
-        actions.push(Action::Finish(Box::new(self.answer(now))));
     }
 
-    fn answer(&mut self, now: Instant) -> Answer {
-        let mut coverage = Coverage::default();
-        let mut parts = Vec::new();
-        for (shard, progress) in std::mem::take(&mut self.shards) {
-            let members = self.members.get(&shard).copied().unwrap_or(0);
-            coverage.shards += 1;
-            coverage.members += members;
-            match progress {
-                Progress::Answered(part) => {
-                    coverage.answered += 1;
-                    coverage.covered += members;
-                    parts.push(part);
+    fn may_restart(&self, now: Instant) -> bool {
+        let plan = &self.plan;
+        let safe = plan.repeatable || (plan.stale.is_none() && !self.may_have_run());
+        let delay = self.shards.values().map(|state| state.hedge_delay).max();
+        let in_time = delay.is_some_and(|delay| now + delay < plan.deadline);
+        plan.tuning.restart && self.abandoned.len() < MAX_RESTARTS as usize && safe && in_time
+    }
+
+    /// Measures what the bound snapshot gives at best: the parts received and the shards that may still be served.
+    fn measure_reach(&self, version: IndexVersion, limits: &Limits, now: Instant) -> Reach {
+        let mut reach = Reach::default();
+        for state in self.shards.values() {
+            let servable = match state.progress {
+                Progress::Answered(_) => true,
+                Progress::Open => {
+                    !state.live.is_empty() || !state.usable(version, limits, now).is_empty()
                 }
-                Progress::Waiting(_) => coverage.missing.push(Missing {
-                    shard,
-                    reason: MissingReason::Deadline,
-                }),
-                Progress::Missing(reason) => coverage.missing.push(Missing { shard, reason }),
+                Progress::Missing(_) => false,
+            };
+            reach.add(state.members, servable, false);
+        }
+        reach
+    }
+
+    /// Tells whether any sub-request was sent and not proved not run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.counts.attempts > self.counts.not_run
+    }
+
+    pub(crate) fn reset_shards(&mut self, shards: BTreeMap<ShardId, ShardState>) {
+        self.open = shards.len();
+        self.members = shards.values().map(|state| state.members).sum();
+        self.covered = 0;
+        self.timers.clear();
+        self.shards = shards;
+    }
+
+    pub(crate) fn close(&mut self, shard: ShardId, progress: Progress) {
+        if let Some(state) = self.shards.get_mut(&shard) {
+            state.progress = progress;
+            self.open -= 1;
+            self.covered += state.covered();
+            if let Some(at) = state.timer.take() {
+                self.timers.remove(&(at, shard));
             }
         }
-        let code = decide_code(&coverage, &self.plan);
-        if code.outcome() == Some(Outcome::Unknown) {
-            parts.clear();
+    }
+
+    fn remove_live(&mut self, shard: ShardId, id: AttemptId) {
+        if let Some(state) = self.shards.get_mut(&shard) {
+            state.live.retain(|live| *live != id);
         }
-        let explanation = Explanation {
-            query: format_compact!("{:032x}", self.plan.id),
-            service: self.plan.service.clone(),
-            request: self.plan.request.clone(),
-            index: self.plan.index.clone(),
-            code,
-            revision: self.plan.revision,
-            stale_ms: self.plan.stale.map(|age| age.as_millis() as u64),
-            snapshot: self.snapshot,
-            coverage,
-            attempts: self.attempts,
-            hedges: 0,
-            retries: 0,
-            restarts: 0,
-            dropped: self.dropped,
-            deadline_ms: self
-                .plan
-                .deadline
-                .saturating_duration_since(self.started)
-                .as_millis() as u64,
-            elapsed_ms: now.saturating_duration_since(self.started).as_millis() as u64,
+    }
+
+    fn cancel_shard(
+        &mut self,
+        shard: ShardId,
+        now: Instant,
+        limits: &mut Limits,
+        actions: &mut Vec<Action>,
+    ) {
+        let live = match self.shards.get_mut(&shard) {
+            Some(state) => std::mem::take(&mut state.live),
+            None => return,
         };
-        Answer {
-            code,
-            parts,
-            explanation,
+        for id in live {
+            let sent = self.attempts.get_mut(&id);
+            if let Some(permit) = sent.and_then(|sent| sent.permit.take()) {
+                limits.release(permit, Ending::Cancelled, now);
+                self.counts.cancelled += 1;
+                if self.plan.tuning.cancel {
+                    actions.push(Action::Cancel(id));
+                }
+            }
         }
     }
-}
 
-fn decide_code(coverage: &Coverage, plan: &Plan) -> Code {
-    if coverage.shards == 0 {
-        return Code::NoUpstream;
-    }
-    if coverage.answered == coverage.shards {
-        return Code::Answered;
+    pub(crate) fn cancel_all(
+        &mut self,
+        now: Instant,
+        limits: &mut Limits,
+        actions: &mut Vec<Action>,
+    ) {
+        let open: Vec<ShardId> = self
+            .shards
+            .iter()
+            .filter(|(_, state)| !state.live.is_empty())
+            .map(|(&shard, _)| shard)
+            .collect();
+        for shard in open {
+            self.cancel_shard(shard, now, limits, actions);
+        }
     }
-    if coverage.answered == 0 {
-        return Code::NoReply;
+
+    fn finish(&mut self, now: Instant, limits: &mut Limits, actions: &mut Vec<Action>) {
+        self.done = true;
+        for state in self.shards.values_mut().filter(|state| state.is_open()) {
+            state.progress = Progress::Missing(if state.live.is_empty() {
+                state.reason
+            } else {
+                MissingReason::Deadline
+            });
+        }
+        self.cancel_all(now, limits, actions);
+        let answer = self.build_answer(now);
+        actions.push(Action::Finish(Box::new(answer)));
     }
-    if (coverage.covered as f64) < plan.policy.at_deadline.min_coverage * coverage.members as f64 {
-        return Code::BelowMinimum;
+
+    fn is_due(&self, now: Instant) -> bool {
+        self.open == 0
+            || now >= self.plan.deadline
+            || self.patience_end().is_some_and(|end| now >= end)
     }
-    match coverage.missing[0].reason {
-        MissingReason::Deadline => Code::PartialDeadline,
-        MissingReason::NoReplica => Code::PartialNoReplica,
-        MissingReason::Retired => Code::PartialRetired,
-        MissingReason::Shed => Code::PartialShed,
+
+    /// Returns when a query that prefers latency answers without the shards that are still open.
+    fn patience_end(&self) -> Option<Instant> {
+        let at_deadline = &self.plan.policy.at_deadline;
+        if at_deadline.prefer != Prefer::Latency
+            || self.open == self.shards.len()
+            || !is_above_minimum(self.covered, self.members, at_deadline.min_coverage)
+        {
+            return None;
+        }
+        let mut end = self.started;
+        for state in self.shards.values().filter(|state| state.is_open()) {
+            end = end.max(state.patience_end());
+        }
+        Some(end)
     }
-}
 
-fn pick_replica<'a>(replicas: &'a [UpstreamId], rng: &mut dyn Rng) -> Option<&'a UpstreamId> {
-    if replicas.is_empty() {
-        return None;
+    fn request_wake(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let timer = self.timers.first().map(|(at, _)| *at);
+        let next = [timer, self.patience_end()]
+            .into_iter()
+            .flatten()
+            .fold(self.plan.deadline, Instant::min);
+        if self.wake.is_none_or(|wake| wake <= now || next < wake) {
+            self.wake = Some(next);
+            actions.push(Action::WakeAt(next));
+        }
     }
-    replicas.get(rng.next_u64() as usize % replicas.len())
 }
--- a/crates/query/src/plan.rs
+++ b/crates/query/src/plan.rs
@@ -8,9 +8,12 @@
 use base::RequestName;
 use base::Revision;
 use base::ServiceName;
+use compact_str::CompactString;
 use decl::AtDeadline;
 use decl::ShardSet;
 
+use crate::Tuning;
+
 /// The fixed inputs of one query.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -26,6 +29,9 @@
     pub shards: ShardSet,
     /// Whether the request is declared repeatable.
     pub repeatable: bool,
+    /// Idempotency key; a request that is not repeatable goes to the one shard of `shards` that the key hashes to, so
+    /// that a caller's retry reaches the same shard.
+    pub key: CompactString,
     /// Moment at which the caller stops waiting.
     pub deadline: Instant,
     /// Rules from the declaration.
@@ -34,6 +40,8 @@
     pub revision: Revision,
     /// Time since the revision was confirmed, when that exceeds the bound of `conf`.
     pub stale: Option<Duration>,
+    /// Mechanisms in effect.
+    pub tuning: Tuning,
 }
 
 /// Rules of a service for its queries.
--- /dev/null
+++ b/crates/query/src/send.rs
@@ -0,0 +1,265 @@
+//! How the query sends: first attempts, hedges and retries.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::ShardId;
+use limit::Blocked;
+use limit::Permit;
+
+use crate::Action;
+use crate::Attempt;
+use crate::Env;
+use crate::Hedging;
+use crate::Kind;
+use crate::MissingReason;
+use crate::Query;
+use crate::bind::Binding;
+use crate::shard::Progress;
+use crate::shard::Sent;
+use crate::shard::ShardState;
+
+/// Retries per shard; a third failure in a row is not a matter of chance.
+const MAX_RETRIES: u32 = 2;
+
+/// Pause before the first retry at a replica that has failed already; the second one waits twice as long.
+const RETRY_PAUSE: Duration = Duration::from_millis(5);
+
+/// Interval at which a blocked shard asks its gates again, when no earlier wake tells that a place is free.
+const RECHECK: Duration = Duration::from_millis(2);
+
+impl Query {
+    /// Binds the query to a snapshot and sends the first attempt for each shard.
+    pub(crate) fn bind(
+        &mut self,
+        binding: Binding,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.snapshot = Some(binding.snapshot);
+        let shards = binding
+            .shards
+            .iter()
+            .map(|bound| (bound.shard.id, ShardState::new(bound, now)))
+            .collect();
+        self.reset_shards(shards);
+        for bound in &binding.shards {
+            self.set_delay(bound.shard.id, env);
+            self.send(bound.shard.id, now, env, actions);
+        }
+    }
+
+    /// Runs what is due: attempts that were put off, and hedges.
+    pub(crate) fn run_timers(
+        &mut self,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        while let Some(&(at, shard)) = self.timers.first()
+            && at <= now
+        {
+            self.timers.pop_first();
+            let Some(state) = self.shards.get_mut(&shard) else {
+                continue;
+            };
+            state.timer = None;
+            if state.live.is_empty() {
+                self.send(shard, now, env, actions);
+            } else {
+                self.hedge(shard, now, env, actions);
+            }
+        }
+    }
+
+    /// Sends the next attempt for a shard that has none outstanding, or puts it off, or gives the shard up.
+    fn send(&mut self, shard: ShardId, now: Instant, env: &mut Env<'_>, actions: &mut Vec<Action>) {
+        let (Some(snapshot), Some(state)) = (self.snapshot, self.shards.get(&shard)) else {
+            return;
+        };
+        let mut candidates = state.untried(snapshot.version, env.limits, now);
+        if candidates.is_empty() {
+            candidates = state.usable(snapshot.version, env.limits, now);
+        }
+        if candidates.is_empty() {
+            let reason = match state.next {
+                Kind::Primary => state.explain_unusable(snapshot.version, env.limits, now),
+                Kind::Hedge | Kind::Retry => state.reason,
+            };
+            self.close(shard, Progress::Missing(reason));
+            return;
+        }
+        let kind = state.next;
+        let permit = env
+            .limits
+            .pick(&candidates, now, env.rng)
+            .and_then(|key| env.limits.acquire(key, now));
+        match permit {
+            Ok(permit) => self.dispatch(shard, kind, permit, now, env, actions),
+            Err(Blocked::Paused)
+                if state.is_paused_until(snapshot.version, self.plan.deadline, env.limits) =>
+            {
+                self.close(shard, Progress::Missing(MissingReason::NoReplica));
+            }
+            Err(blocked) => self.postpone(shard, blocked, now),
+        }
+    }
+
+    fn postpone(&mut self, shard: ShardId, blocked: Blocked, now: Instant) {
+        self.counts.postponed += 1;
+        if let Some(state) = self.shards.get_mut(&shard)
+            && state.next == Kind::Primary
+        {
+            state.reason = match blocked {
+                Blocked::Limit | Blocked::Share => MissingReason::Limited,
+                Blocked::Draining => MissingReason::Draining,
+                Blocked::Paused | Blocked::Unknown => MissingReason::NoReplica,
+            };
+        }
+        self.set_timer(shard, now + RECHECK);
+    }
+
+    fn dispatch(
+        &mut self,
+        shard: ShardId,
+        kind: Kind,
+        permit: Permit,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = permit.key();
+        let (Some(snapshot), Some(state), Some(gate)) = (
+            self.snapshot,
+            self.shards.get_mut(&shard),
+            env.limits.gate(key),
+        ) else {
+            return;
+        };
+        *env.next_attempt += 1;
+        let id = *env.next_attempt;
+        state.note_sent(id, key, now);
+        self.counts.attempts += 1;
+        match kind {
+            Kind::Primary => {}
+            Kind::Hedge => self.counts.hedges += 1,
+            Kind::Retry => self.counts.retries += 1,
+        }
+        actions.push(Action::Send(Attempt {
+            id,
+            kind,
+            upstream: gate.id().clone(),
+            shard,
+            snapshot,
+            deadline: self.plan.deadline,
+        }));
+        let due = now + state.hedge_delay;
+        let hedge = !state.hedged && self.may_hedge();
+        self.attempts.insert(
+            id,
+            Sent {
+                shard,
+                kind,
+                key,
+                sent: now,
+                permit: Some(permit),
+            },
+        );
+        if hedge {
+            self.set_timer(shard, due);
+        }
+    }
+
+    fn may_hedge(&self) -> bool {
+        self.plan.repeatable && self.plan.tuning.hedging != Hedging::Off
+    }
+
+    /// Sends a second attempt in parallel, if another replica and a token are available.
+    ///
+    /// Without one of them the shard asks again after another delay, since both may become available.
+    fn hedge(
+        &mut self,
+        shard: ShardId,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let (Some(snapshot), Some(state)) = (self.snapshot, self.shards.get_mut(&shard)) else {
+            return;
+        };
+        if state.hedged || !state.is_open() {
+            return;
+        }
+        let delay = state.hedge_delay;
+        let candidates = state.untried(snapshot.version, env.limits, now);
+        if let Ok(key) = env.limits.pick(&candidates, now, env.rng)
+            && env.limits.take_hedge(&self.plan.service)
+            && let Ok(permit) = env.limits.acquire(key, now)
+        {
+            state.hedged = true;
+            self.dispatch(shard, Kind::Hedge, permit, now, env, actions);
+        } else {
+            self.set_timer(shard, now + delay);
+        }
+    }
+
+    /// Replaces a failed attempt within the budget, or gives the shard up when nothing else is outstanding.
+    pub(crate) fn replace(
+        &mut self,
+        shard: ShardId,
+        reason: MissingReason,
+        not_run: bool,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let (Some(snapshot), Some(state)) = (self.snapshot, self.shards.get_mut(&shard)) else {
+            return;
+        };
+        state.reason = reason;
+        if !state.live.is_empty() {
+            return;
+        }
+        let plan = &self.plan;
+        let safe = plan.repeatable || (not_run && plan.stale.is_none());
+        let usable = !state.usable(snapshot.version, env.limits, now).is_empty();
+        if !plan.tuning.retry
+            || !safe
+            || !usable
+            || state.retries >= MAX_RETRIES
+            || !env.limits.take_retry(&plan.service)
+        {
+            self.close(shard, Progress::Missing(reason));
+            return;
+        }
+        let pause = RETRY_PAUSE * (1 << state.retries);
+        state.retries += 1;
+        state.next = Kind::Retry;
+        if state.untried(snapshot.version, env.limits, now).is_empty() {
+            self.set_timer(shard, now + pause);
+        } else {
+            self.send(shard, now, env, actions);
+        }
+    }
+
+    fn set_timer(&mut self, shard: ShardId, at: Instant) {
+        if let Some(state) = self.shards.get_mut(&shard) {
+            if let Some(old) = state.timer.replace(at) {
+                self.timers.remove(&(old, shard));
+            }
+            self.timers.insert((at, shard));
+        }
+    }
+
+    fn set_delay(&mut self, shard: ShardId, env: &Env<'_>) {
+        let Some(state) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        match self.plan.tuning.hedging {
+            Hedging::Off => state.set_delay(0.95, env.limits),
+            Hedging::Quantile(quantile) => state.set_delay(quantile, env.limits),
+            Hedging::Fixed(delay) => state.fix_delay(delay),
+        }
+    }
+}
