--- a/crates/base/tests/codes.rs
+++ b/crates/base/tests/codes.rs
@@ -13,13 +13,27 @@
         .collect();
     let listed: Vec<(u16, String, String, String)> = rows
         .iter()
-        .map(|row| (row[1].parse().unwrap(), row[2].into(), row[3].into(), row[4].into()))
+        .map(|row| {
+            (
+                row[1].parse().unwrap(),
+                row[2].into(),
+                row[3].into(),
+                row[4].into(),
+            )
+        })
         .collect();
     let expected: Vec<(u16, String, String, String)> = Code::ALL
         .iter()
         .map(|code| {
-            let outcome = code.outcome().map_or(String::new(), |outcome| format!("{outcome:?}").to_lowercase());
-            (code.number(), format!("{code:?}"), outcome, code.meaning().into())
+            let outcome = code.outcome().map_or(String::new(), |outcome| {
+                format!("{outcome:?}").to_lowercase()
+            });
+            (
+                code.number(),
+                format!("{code:?}"),
+                outcome,
+                code.meaning().into(),
+            )
         })
         .collect();
     assert_eq!(listed, expected);
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -59,11 +59,11 @@
 #[derive(Debug, Serialize, JsonSchema)]
 pub struct AnswerBody {
     /// What the caller may conclude: `answered`, `partial`, `refused` (not run) or `unknown` (may have run).
-    pub outcome: String,
+    pub outcome: &'static str,
     /// Result code; `docs/codes.md` lists them.
     pub code: u16,
     /// Meaning of the code.
-    pub meaning: String,
+    pub meaning: &'static str,
     /// Identifies the query in logs.
     pub query: String,
     /// Configuration revision that the query was bound to.
@@ -93,11 +93,15 @@
 impl AnswerBody {
     /// Converts the answer of a query; `explain` keeps its explanation record.
     pub fn from_answer(answer: Answer, explain: bool) -> AnswerBody {
-        let Answer { code, parts, explanation } = answer;
+        let Answer {
+            code,
+            parts,
+            explanation,
+        } = answer;
         AnswerBody {
-            outcome: outcome_word(code).into(),
+            outcome: outcome_word(code),
             code: code.number(),
-            meaning: code.meaning().into(),
+            meaning: code.meaning(),
             query: explanation.query.to_string(),
             revision: explanation.revision,
             key: None,
@@ -114,24 +118,24 @@
 #[derive(Debug, Serialize, JsonSchema)]
 pub struct FailureBody {
     /// What the caller may conclude: `refused` (not run) or `unknown` (may have run).
-    pub outcome: String,
+    pub outcome: &'static str,
     /// Result code; `docs/codes.md` lists them.
     pub code: u16,
     /// Meaning of the code.
-    pub meaning: String,
+    pub meaning: &'static str,
     /// What was wrong with this request.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub detail: Option<String>,
+    pub detail: Option<Box<str>>,
     /// Identifies the query in logs, when one was started.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub query: Option<String>,
+    pub query: Option<Box<str>>,
     /// Idempotency key of a request that is not repeatable.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub key: Option<String>,
+    pub key: Option<Box<str>>,
     /// Coverage that was reached, when a query was started.
     #[schemars(with = "Option<serde_json::Value>")]
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub coverage: Option<query::Coverage>,
+    pub coverage: Option<Box<query::Coverage>>,
     /// Explanation record, when asked for.
     #[schemars(with = "Option<serde_json::Value>")]
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -144,10 +148,10 @@
     /// Creates the body for a code, with what was wrong with this request.
     pub fn new(code: Code, detail: Option<String>) -> FailureBody {
         FailureBody {
-            outcome: outcome_word(code).into(),
+            outcome: outcome_word(code),
             code: code.number(),
-            meaning: code.meaning().into(),
-            detail,
+            meaning: code.meaning(),
+            detail: detail.map(String::into_boxed_str),
             query: None,
             key: None,
             coverage: None,
@@ -160,8 +164,8 @@
     pub fn from_answer(answer: Answer, explain: bool) -> FailureBody {
         let explanation = answer.explanation;
         FailureBody {
-            query: Some(explanation.query.to_string()),
-            coverage: Some(explanation.coverage.clone()),
+            query: Some(explanation.query.as_str().into()),
+            coverage: Some(Box::new(explanation.coverage.clone())),
             explanation: explain.then(|| Box::new(explanation)),
             ..FailureBody::new(answer.code, None)
         }
@@ -230,8 +234,17 @@
     body: TypedBody<RequestBody>,
 ) -> Result<HttpResponseOk<AnswerBody>, FailureBody> {
     let RequestPath { service, request } = path.into_inner();
-    let RequestBody { body, explain, timeout_ms, shard } = body.into_inner();
-    let key = rqctx.request.headers().get(HEADER_KEY).and_then(|key| key.to_str().ok());
+    let RequestBody {
+        body,
+        explain,
+        timeout_ms,
+        shard,
+    } = body.into_inner();
+    let key = rqctx
+        .request
+        .headers()
+        .get(HEADER_KEY)
+        .and_then(|key| key.to_str().ok());
     let call = Call {
         service: service.into(),
         request: request.into(),
@@ -246,13 +259,17 @@
 
 /// Tells whether the process runs.
 #[endpoint { method = GET, path = "/healthz" }]
-async fn get_healthz(_rqctx: RequestContext<Arc<Node>>) -> Result<HttpResponseOk<Health>, HttpError> {
+async fn get_healthz(
+    _rqctx: RequestContext<Arc<Node>>,
+) -> Result<HttpResponseOk<Health>, HttpError> {
     Ok(HttpResponseOk(Health { state: "ok".into() }))
 }
 
 /// Tells whether the balancer may send callers here.
 #[endpoint { method = GET, path = "/readyz" }]
-async fn get_readyz(rqctx: RequestContext<Arc<Node>>) -> Result<HttpResponseOk<Health>, FailureBody> {
+async fn get_readyz(
+    rqctx: RequestContext<Arc<Node>>,
+) -> Result<HttpResponseOk<Health>, FailureBody> {
     match rqctx.context().readiness() {
         Ok(()) => Ok(HttpResponseOk(Health { state: "ok".into() })),
         Err(code) => Err(FailureBody::new(code, None)),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -15,12 +15,18 @@
 
 /// Follows the configuration in the platform until the node stops.
 pub async fn follow_catalogue(node: Arc<Node>) {
-    follow(&node, "config", |changed: Changed<Catalogue>| node.offer_catalogue(changed.value)).await;
+    follow(&node, "config", |changed: Changed<Catalogue>| {
+        node.offer_catalogue(changed.value)
+    })
+    .await;
 }
 
 /// Follows the indexes in the platform until the node stops.
 pub async fn follow_indexes(node: Arc<Node>) {
-    follow(&node, "index", |changed: Changed<IndexState>| node.set_index(changed.value)).await;
+    follow(&node, "index", |changed: Changed<IndexState>| {
+        node.set_index(changed.value)
+    })
+    .await;
 }
 
 /// Watches a kind of object; an outage is waited out for the time that the client names.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -36,11 +36,21 @@
             Some(sink) => StatsdClient::from_sink("limpetwick", sink),
             None => StatsdClient::from_sink("limpetwick", NopMetricSink),
         };
-        Metrics { statsd, latency: Mutex::default(), codes: Mutex::default() }
+        Metrics {
+            statsd,
+            latency: Mutex::default(),
+            codes: Mutex::default(),
+        }
     }
 
     /// Records the end of a request.
-    pub fn record_answer(&self, service: &ServiceName, class: Class, code: Code, elapsed: Duration) {
+    pub fn record_answer(
+        &self,
+        service: &ServiceName,
+        class: Class,
+        code: Code,
+        elapsed: Duration,
+    ) {
         let class = class_word(class);
         let _ = self
             .statsd
@@ -54,9 +64,16 @@
             .with_tag("service", service)
             .with_tag("class", class)
             .try_send();
-        *self.codes.lock().unwrap_or_else(PoisonError::into_inner).entry(code.number()).or_default() += 1;
+        *self
+            .codes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .entry(code.number())
+            .or_default() += 1;
         let mut latency = self.latency.lock().unwrap_or_else(PoisonError::into_inner);
-        let histogram = latency.entry((service.clone(), class)).or_insert_with(new_histogram);
+        let histogram = latency
+            .entry((service.clone(), class))
+            .or_insert_with(new_histogram);
         histogram.saturating_record(elapsed.as_micros() as u64);
     }
 
@@ -72,7 +89,10 @@
 
     /// Returns the number of answers by result code.
     pub fn codes(&self) -> BTreeMap<u16, u64> {
-        self.codes.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.codes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Returns count and latency quantiles in microseconds (p50, p99, p99.9) per service and class.
@@ -89,7 +109,11 @@
 }
 
 fn open_sink(addr: SocketAddr) -> Option<UdpMetricSink> {
-    let local: SocketAddr = if addr.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+    let local: SocketAddr = if addr.is_ipv4() {
+        ([0, 0, 0, 0], 0).into()
+    } else {
+        ([0u16; 8], 0).into()
+    };
     let socket = UdpSocket::bind(local).ok()?;
     socket.set_nonblocking(true).ok()?;
     UdpMetricSink::from(addr, socket).ok()
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -92,7 +92,10 @@
     /// Creates the state of an entry VM; `seed` starts its random generators and identifies its incarnation.
     pub fn new(settings: Settings, seed: u64) -> Node {
         let prefix = hash_key(&format!("{}/{seed}", settings.node)) >> ATTEMPT_BITS;
-        let ids = Ids { attempt: prefix << ATTEMPT_BITS, rng: Pcg64::seed_from_u64(seed) };
+        let ids = Ids {
+            attempt: prefix << ATTEMPT_BITS,
+            rng: Pcg64::seed_from_u64(seed),
+        };
         Node {
             metrics: Metrics::new(settings.statsd),
             pool: Pool::new(settings.zone.clone()),
@@ -115,7 +118,10 @@
 
     /// Returns the configuration in force.
     pub fn catalogue(&self) -> Option<Arc<Catalogue>> {
-        self.catalogue.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.catalogue
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Returns the age of the configuration when it exceeds the bound within which it should be confirmed.
@@ -125,8 +131,14 @@
 
     /// Takes in a catalogue; only a higher revision than the one in force is accepted.
     pub fn offer_catalogue(&self, catalogue: Catalogue) {
-        let mut current = self.catalogue.write().unwrap_or_else(PoisonError::into_inner);
-        if current.as_ref().is_none_or(|current| current.revision < catalogue.revision) {
+        let mut current = self
+            .catalogue
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if current
+            .as_ref()
+            .is_none_or(|current| current.revision < catalogue.revision)
+        {
             log::info!("conf: revision {} in force", catalogue.revision);
             *current = Some(Arc::new(catalogue));
         }
@@ -146,17 +158,28 @@
 
     /// Returns the state of an index.
     pub fn index(&self, name: &str) -> Option<Arc<IndexState>> {
-        self.indexes.read().unwrap_or_else(PoisonError::into_inner).get(name).cloned()
+        self.indexes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(name)
+            .cloned()
     }
 
     /// Returns the number of indexes known.
     pub fn index_count(&self) -> usize {
-        self.indexes.read().unwrap_or_else(PoisonError::into_inner).len()
+        self.indexes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .len()
     }
 
     /// Looks up an upstream of an index.
     pub fn upstream(&self, index: &str, id: &UpstreamId) -> Option<Upstream> {
-        self.index(index)?.upstreams.iter().find(|upstream| upstream.id == *id).cloned()
+        self.index(index)?
+            .upstreams
+            .iter()
+            .find(|upstream| upstream.id == *id)
+            .cloned()
     }
 
     /// Returns the connections that this node may use of an upstream's limit.
@@ -176,11 +199,18 @@
 
     /// Advances a query by one event under the lock of the limits.
     pub fn advance(&self, query: &mut Query, index: &str, event: Event) -> Vec<Action> {
-        let index = self.index(index).unwrap_or_else(|| Arc::new(empty_index(index)));
+        let index = self
+            .index(index)
+            .unwrap_or_else(|| Arc::new(empty_index(index)));
         let mut limits = lock(&self.limits);
         let mut ids = lock(&self.ids);
         let Ids { attempt, rng } = &mut *ids;
-        let mut env = Env { index: &index, limits: &mut limits, next_attempt: attempt, rng };
+        let mut env = Env {
+            index: &index,
+            limits: &mut limits,
+            next_attempt: attempt,
+            rng,
+        };
         query.handle(event, Instant::now(), &mut env)
     }
 
@@ -249,5 +279,9 @@
 }
 
 fn empty_index(name: &str) -> IndexState {
-    IndexState { index: name.into(), maps: Vec::new(), upstreams: Vec::new() }
+    IndexState {
+        index: name.into(),
+        maps: Vec::new(),
+        upstreams: Vec::new(),
+    }
 }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -117,7 +117,10 @@
 impl Pool {
     /// Creates an empty pool for a node in `zone`.
     pub fn new(zone: ZoneName) -> Pool {
-        Pool { zone, hosts: Mutex::default() }
+        Pool {
+            zone,
+            hosts: Mutex::default(),
+        }
     }
 
     /// Returns the number of open connections to an upstream.
@@ -157,7 +160,9 @@
             Err(mut error) => {
                 // An idle connection may have been closed by the server; the request comes back unsent and is tried
                 // once more on a new connection.
-                let Some(request) = error.take_message() else { return Err(CallError::Lost) };
+                let Some(request) = error.take_message() else {
+                    return Err(CallError::Lost);
+                };
                 connection = connect(&host, upstream, share, verified).await?;
                 match connection.try_send_request(request).await {
                     Ok(response) => response,
@@ -191,7 +196,10 @@
         if let Ok(value) = upstream.addr.to_string().parse() {
             headers.insert(http::header::HOST, value);
         }
-        headers.insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+        headers.insert(
+            http::header::CONTENT_TYPE,
+            http::HeaderValue::from_static("application/json"),
+        );
         if let Ok(value) = self.zone.parse() {
             headers.insert(HEADER_ZONE, value);
         }
@@ -207,10 +215,13 @@
     verified: bool,
 ) -> Result<Connection, CallError> {
     let slot = host.reserve(share).ok_or(CallError::ShareInUse)?;
-    let stream = TcpStream::connect(upstream.addr).await.map_err(|_| CallError::Unreachable)?;
+    let stream = TcpStream::connect(upstream.addr)
+        .await
+        .map_err(|_| CallError::Unreachable)?;
     let _ = stream.set_nodelay(true);
-    let (mut sender, driver) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|_| CallError::Refused)?;
+    let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| CallError::Refused)?;
     tokio::spawn(async move {
         if let Err(error) = driver.await {
             log::debug!("upstream: connection closed: {error}");
@@ -220,7 +231,10 @@
     if verified {
         let mut probe = Request::new(Full::new(Bytes::new()));
         *probe.uri_mut() = http::Uri::from_static("/healthz");
-        let response = sender.send_request(probe).await.map_err(|_| CallError::Refused)?;
+        let response = sender
+            .send_request(probe)
+            .await
+            .map_err(|_| CallError::Refused)?;
         read_reply(response).await.map_err(|_| CallError::Refused)?;
         sender.ready().await.map_err(|_| CallError::Refused)?;
     }
@@ -229,9 +243,22 @@
 
 async fn read_reply(response: Response<Incoming>) -> Result<Reply, CallError> {
     let status = response.status();
-    let header = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
+    let header = |name| {
+        response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
     let not_run = header(HEADER_NOT_RUN) == Some("1");
     let state = header(HEADER_STATE).and_then(UpstreamState::parse);
-    let body = Limited::new(response.into_body(), REPLY_LIMIT).collect().await.map_err(|_| CallError::Lost)?;
-    Ok(Reply { status, not_run, state, body: body.to_bytes() })
+    let body = Limited::new(response.into_body(), REPLY_LIMIT)
+        .collect()
+        .await
+        .map_err(|_| CallError::Lost)?;
+    Ok(Reply {
+        status,
+        not_run,
+        state,
+        body: body.to_bytes(),
+    })
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -13,9 +13,11 @@
 use compact_str::CompactString;
 use decl::Catalogue;
 use decl::Declaration;
+use decl::ShardSet;
 use query::Answer;
 use query::Plan;
 use query::Policy;
+use query::Tuning;
 use serde_json::value::RawValue;
 
 use crate::api::AnswerBody;
@@ -47,24 +49,44 @@
 pub async fn serve_call(node: &Arc<Node>, call: Call) -> Result<AnswerBody, FailureBody> {
     let started = Instant::now();
     let _active = node.enter().map_err(|code| FailureBody::new(code, None))?;
-    let catalogue = node.catalogue().ok_or_else(|| FailureBody::new(Code::NotReady, None))?;
+    let catalogue = node
+        .catalogue()
+        .ok_or_else(|| FailureBody::new(Code::NotReady, None))?;
     let declaration = find_declaration(&catalogue, &call)?;
+    let repeatable = declaration
+        .request(&call.request)
+        .is_some_and(|request| request.repeatable);
+    if !repeatable {
+        return Err(FailureBody::new(Code::ClaimUnavailable, None));
+    }
     let explain = call.explain;
     let answer = run_read(node, &catalogue, declaration, call, started).await;
     record_end(node, declaration, &answer, started);
     match answer.code.outcome() {
         Some(Outcome::Answered | Outcome::Partial) => Ok(AnswerBody::from_answer(answer, explain)),
-        Some(Outcome::Refused | Outcome::Unknown) | None => Err(FailureBody::from_answer(answer, explain)),
+        Some(Outcome::Refused | Outcome::Unknown) | None => {
+            Err(FailureBody::from_answer(answer, explain))
+        }
     }
 }
 
-fn find_declaration<'a>(catalogue: &'a Catalogue, call: &Call) -> Result<&'a Declaration, FailureBody> {
+fn find_declaration<'a>(
+    catalogue: &'a Catalogue,
+    call: &Call,
+) -> Result<&'a Declaration, FailureBody> {
     let Some(declaration) = catalogue.declaration(&call.service) else {
-        let detail = format!("service {:?} is not in revision {}", call.service, catalogue.revision);
+        let detail = format!(
+            "service {:?} is not in revision {}",
+            call.service, catalogue.revision
+        );
         return Err(FailureBody::new(Code::UnknownService, Some(detail)));
     };
     if declaration.request(&call.request).is_none() {
-        let names: Vec<&str> = declaration.requests.iter().map(|request| request.name.as_str()).collect();
+        let names: Vec<&str> = declaration
+            .requests
+            .iter()
+            .map(|request| request.name.as_str())
+            .collect();
         let detail = format!("{:?} is not one of: {}", call.request, names.join(", "));
         return Err(FailureBody::new(Code::UnknownRequest, Some(detail)));
     }
@@ -89,14 +111,20 @@
     call: &Call,
     started: Instant,
 ) -> Plan {
-    let allowed = call.timeout.map_or(declaration.deadline, |timeout| timeout.min(declaration.deadline));
+    let allowed = call.timeout.map_or(declaration.deadline, |timeout| {
+        timeout.min(declaration.deadline)
+    });
     Plan {
         id: node.next_query(),
         service: declaration.service.clone(),
         request: call.request.clone(),
         index: declaration.index.clone(),
-        shards: declaration.shards.clone(),
+        shards: call.shard.map_or_else(
+            || declaration.shards.clone(),
+            |shard| ShardSet::Names(vec![shard]),
+        ),
         repeatable: true,
+        key: call.key.clone().unwrap_or_default(),
         deadline: started + allowed,
         policy: Policy {
             at_deadline: declaration.at_deadline,
@@ -105,12 +133,18 @@
         },
         revision: catalogue.revision,
         stale: node.stale(started),
+        tuning: Tuning::default(),
     }
 }
 
 /// Counts the end of a request and writes its explanation as one log line.
 fn record_end(node: &Node, declaration: &Declaration, answer: &Answer, started: Instant) {
-    node.metrics.record_answer(&declaration.service, declaration.class, answer.code, started.elapsed());
+    node.metrics.record_answer(
+        &declaration.service,
+        declaration.class,
+        answer.code,
+        started.elapsed(),
+    );
     let explanation = &answer.explanation;
     let record = serde_json::to_string(explanation).unwrap_or_default();
     log::info!(
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -48,7 +48,12 @@
     let (events, mut inbox) = mpsc::unbounded_channel();
     let mut query = Query::new(plan.clone(), Instant::now());
     let deadline = plan.deadline;
-    let shared = Arc::new(Shared { node: node.clone(), plan, body, events });
+    let shared = Arc::new(Shared {
+        node: node.clone(),
+        plan,
+        body,
+        events,
+    });
     let mut event = Event::Start;
     let mut wake = deadline;
     loop {
@@ -89,7 +94,10 @@
     };
     let share = node.share(&attempt.upstream);
     node.track(id, &upstream);
-    let result = node.pool.call(&upstream, share, PATH_QUERY, encode(&request), false).await;
+    let result = node
+        .pool
+        .call(&upstream, share, PATH_QUERY, encode(&request), false)
+        .await;
     node.untrack(id);
     let event = match result {
         Ok(reply) => {
@@ -118,7 +126,11 @@
         let held = serde_json::from_slice::<RejectReply>(&reply.body).map(|reject| reject.held);
         return Event::Failed(attempt, Failure::Retired(held.unwrap_or_default()));
     }
-    let failure = if reply.not_run { Failure::NotRun } else { Failure::Lost };
+    let failure = if reply.not_run {
+        Failure::NotRun
+    } else {
+        Failure::Lost
+    };
     Event::Failed(attempt, failure)
 }
 
@@ -133,14 +145,23 @@
 
 /// Encodes a message of the upstream protocol.
 pub fn encode<T: Serialize>(message: &T) -> Bytes {
-    serde_json::to_vec(message).expect("upstream messages have string keys only").into()
+    serde_json::to_vec(message)
+        .expect("upstream messages have string keys only")
+        .into()
 }
 
 /// Tells an upstream that a reply is not needed; the attempt's own task reads the reply and frees the connection.
 pub async fn send_cancel(node: Arc<Node>, attempt: u64, upstream: base::Upstream) {
     let share = node.share(&upstream.id);
     let message = CancelRequest { attempt };
-    if let Err(error) = node.pool.call(&upstream, share, PATH_CANCEL, encode(&message), false).await {
-        log::debug!("upstream: attempt {attempt} was not cancelled at {}: {error:?}", upstream.id);
+    if let Err(error) = node
+        .pool
+        .call(&upstream, share, PATH_CANCEL, encode(&message), false)
+        .await
+    {
+        log::debug!(
+            "upstream: attempt {attempt} was not cancelled at {}: {error:?}",
+            upstream.id
+        );
     }
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -41,7 +41,9 @@
 
 impl std::fmt::Debug for Entry {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Entry").field("node", &self.node.settings.node).finish_non_exhaustive()
+        f.debug_struct("Entry")
+            .field("node", &self.node.settings.node)
+            .finish_non_exhaustive()
     }
 }
 
@@ -68,13 +70,20 @@
         self.node.pool.close_idle();
         let closed = self.server.close().await;
         log::info!("entry: stopped");
-        closed.map_err(|reason| ServeError { code: Code::Stopping, reason })
+        closed.map_err(|reason| ServeError {
+            code: Code::Stopping,
+            reason,
+        })
     }
 
     /// Waits until no request is in progress, at most for the longest declared deadline.
     async fn wait_for_requests(&self) {
         let longest = self.node.catalogue().and_then(|catalogue| {
-            catalogue.entries.values().map(|entry| entry.declaration.deadline).max()
+            catalogue
+                .entries
+                .values()
+                .map(|entry| entry.declaration.deadline)
+                .max()
         });
         let bound = tokio::time::sleep(longest.unwrap_or_default().max(MIN_DRAIN));
         tokio::pin!(bound);
@@ -99,16 +108,33 @@
         default_handler_task_mode: HandlerTaskMode::Detached,
         ..ConfigDropshot::default()
     };
-    let api = describe_api()
-        .map_err(|error| ServeError { code: Code::InvalidSettings, reason: error.to_string() })?;
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    let server = ServerBuilder::new(api, node.clone(), log).config(config).start().map_err(|error| {
-        let reason = format!("cannot serve callers on {}: {error}", node.settings.listen);
-        ServeError { code: Code::AddressInUse, reason }
+    let api = describe_api().map_err(|error| ServeError {
+        code: Code::InvalidSettings,
+        reason: error.to_string(),
     })?;
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let server = ServerBuilder::new(api, node.clone(), log)
+        .config(config)
+        .start()
+        .map_err(|error| {
+            let reason = format!("cannot serve callers on {}: {error}", node.settings.listen);
+            ServeError {
+                code: Code::AddressInUse,
+                reason,
+            }
+        })?;
     let mut tasks = JoinSet::new();
     tasks.spawn(follow_catalogue(node.clone()));
     tasks.spawn(follow_indexes(node.clone()));
-    log::info!("entry: {} in zone {} serves on {}", node.settings.node, node.settings.zone, server.local_addr());
-    Ok(Entry { node, server, tasks })
+    log::info!(
+        "entry: {} in zone {} serves on {}",
+        node.settings.node,
+        node.settings.zone,
+        server.local_addr()
+    );
+    Ok(Entry {
+        node,
+        server,
+        tasks,
+    })
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -107,15 +107,22 @@
     let file = path.display().to_string();
     match std::fs::read_to_string(path) {
         Ok(text) => parse_settings(&file, &text),
-        Err(error) => {
-            Err(vec![SettingsError { file, line: 0, key: "file".into(), reason: error.to_string() }])
-        }
+        Err(error) => Err(vec![SettingsError {
+            file,
+            line: 0,
+            key: "file".into(),
+            reason: error.to_string(),
+        }]),
     }
 }
 
 /// Checks the text of a settings file; every error found is returned.
 pub fn parse_settings(file: &str, text: &str) -> Result<Settings, Vec<SettingsError>> {
-    let mut check = Check { file, text, errors: Vec::new() };
+    let mut check = Check {
+        file,
+        text,
+        errors: Vec::new(),
+    };
     let raw: RawSettings = match toml::from_str(text) {
         Ok(raw) => raw,
         Err(error) => {
@@ -130,14 +137,23 @@
     let listen = check.parse_address("listen", &raw.listen);
     let peer = check.parse_address("peer", &raw.peer);
     let platform = check.parse_address("platform", &raw.platform);
-    let seeds = raw.seeds.iter().filter_map(|seed| check.parse_address("seeds", seed)).collect();
-    let statsd = raw.metrics.statsd.as_ref().and_then(|addr| check.parse_address("metrics.statsd", addr));
+    let seeds = raw
+        .seeds
+        .iter()
+        .filter_map(|seed| check.parse_address("seeds", seed))
+        .collect();
+    let statsd = raw
+        .metrics
+        .statsd
+        .as_ref()
+        .and_then(|addr| check.parse_address("metrics.statsd", addr));
     let body_kib = check.require_positive("limits.body_kib", raw.limits.body_kib, DEFAULT_BODY_KIB);
     let query_limit = check.require_positive("limits.queries", raw.limits.queries, DEFAULT_QUERIES);
     if raw.listen.get_ref() == raw.peer.get_ref() && !raw.listen.get_ref().ends_with(":0") {
         check.report(raw.peer.span().start, "peer", "must differ from listen");
     }
-    let (Some(listen), Some(peer), Some(platform), true) = (listen, peer, platform, check.errors.is_empty())
+    let (Some(listen), Some(peer), Some(platform), true) =
+        (listen, peer, platform, check.errors.is_empty())
     else {
         return Err(check.errors);
     };
@@ -151,7 +167,10 @@
         seeds,
         body_limit: body_kib * 1024,
         query_limit,
-        notice: raw.shutdown.notice_ms.map_or(DEFAULT_NOTICE, Duration::from_millis),
+        notice: raw
+            .shutdown
+            .notice_ms
+            .map_or(DEFAULT_NOTICE, Duration::from_millis),
         statsd,
     })
 }
@@ -165,7 +184,10 @@
 
 impl Check<'_> {
     fn report(&mut self, offset: usize, key: &str, reason: &str) {
-        let line = self.text[..offset.min(self.text.len())].matches('\n').count() + 1;
+        let line = self.text[..offset.min(self.text.len())]
+            .matches('\n')
+            .count()
+            + 1;
         self.errors.push(SettingsError {
             file: self.file.into(),
             line,
@@ -189,7 +211,12 @@
         parsed.ok()
     }
 
-    fn require_positive(&mut self, key: &str, value: Option<Spanned<usize>>, default: usize) -> usize {
+    fn require_positive(
+        &mut self,
+        key: &str,
+        value: Option<Spanned<usize>>,
+        default: usize,
+    ) -> usize {
         match value {
             None => default,
             Some(value) => {
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -53,14 +53,16 @@
             active: self.active(),
             codes: self.metrics.codes(),
             latencies: latencies
-                .map(|(service, class, count, [p50_us, p99_us, p999_us])| LatencyStatus {
-                    service: service.to_string(),
-                    class: class.into(),
-                    count,
-                    p50_us,
-                    p99_us,
-                    p999_us,
-                })
+                .map(
+                    |(service, class, count, [p50_us, p99_us, p999_us])| LatencyStatus {
+                        service: service.to_string(),
+                        class: class.into(),
+                        count,
+                        p50_us,
+                        p99_us,
+                        p999_us,
+                    },
+                )
                 .collect(),
         }
     }
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -50,7 +50,12 @@
 
 impl Demo {
     fn new(rig: Rig, json: bool) -> Demo {
-        Demo { rig, http: Client::builder(TokioExecutor::new()).build_http(), json, sent: 0 }
+        Demo {
+            rig,
+            http: Client::builder(TokioExecutor::new()).build_http(),
+            json,
+            sent: 0,
+        }
     }
 
     /// Funeral plans: an answer has to come early, and may leave out the last shards.
@@ -58,14 +63,19 @@
         self.title("Brunner-Vaucher: advisers search the 30 shards of plan-desk (latency first)");
         self.warm_up("advisers").await?;
         self.ask("all servers are healthy", "advisers").await?;
-        self.rig.fleet.inject("plan-desk-0", Fault::Slow { factor: 40.0 });
-        self.ask("server plan-desk-0 is 40 times slower", "advisers").await?;
+        self.rig
+            .fleet
+            .inject("plan-desk-0", Fault::Slow { factor: 40.0 });
+        self.ask("server plan-desk-0 is 40 times slower", "advisers")
+            .await?;
         self.rig.fleet.inject("plan-desk-1", Fault::Stop);
-        self.ask("server plan-desk-1 is also lost", "advisers").await?;
+        self.ask("server plan-desk-1 is also lost", "advisers")
+            .await?;
         self.rig.fleet.inject("plan-desk-0", Fault::Clear);
         self.rig.fleet.inject("plan-desk-1", Fault::Clear);
         self.move_version("plan-desk").await?;
-        self.ask("the index has moved to a new version", "advisers").await?;
+        self.ask("the index has moved to a new version", "advisers")
+            .await?;
         self.note("A request that may not be repeated runs at most once:");
         self.post_twice("instalments", "post-instalment").await
     }
@@ -79,7 +89,8 @@
         for server in &lost {
             self.rig.fleet.inject(server, Fault::Stop);
         }
-        self.ask("all replicas of shard 3 are lost", "offcuts").await?;
+        self.ask("all replicas of shard 3 are lost", "offcuts")
+            .await?;
         for server in &lost {
             self.rig.fleet.inject(server, Fault::Clear);
         }
@@ -89,7 +100,9 @@
     fn replicas(&self, index: &str, shard: u32) -> Vec<base::UpstreamId> {
         let state = self.rig.deployment.index(index).map(|index| &index.state);
         let shard = state.and_then(|state| state.maps.last()?.shard(shard));
-        shard.map(|shard| shard.replicas.clone()).unwrap_or_default()
+        shard
+            .map(|shard| shard.replicas.clone())
+            .unwrap_or_default()
     }
 
     async fn warm_up(&mut self, service: &str) -> Result<(), RigError> {
@@ -101,21 +114,33 @@
 
     /// Adds a version to an index, first at the servers and then in the platform, and retires the old one.
     async fn move_version(&mut self, index: &str) -> Result<(), RigError> {
-        let Some(index) = self.rig.deployment.indexes.iter_mut().find(|at| at.state.index == index) else {
+        let Some(index) = self
+            .rig
+            .deployment
+            .indexes
+            .iter_mut()
+            .find(|at| at.state.index == index)
+        else {
+            return Ok(());
+        };
+        let Some(map) = index.state.maps.last_mut() else {
             return Ok(());
         };
-        let Some(map) = index.state.maps.last_mut() else { return Ok(()) };
         let old = map.versions.last().copied().unwrap_or(0);
         map.versions.push(old + 1);
         let map: ShardMap = map.clone();
         for server in &index.servers {
-            self.rig.fleet.inject(&server.id, Fault::Hold { map: map.clone() });
+            self.rig
+                .fleet
+                .inject(&server.id, Fault::Hold { map: map.clone() });
         }
         let state = index.state.clone();
         write_object(&self.rig.store, "index", &state.index, &state).await?;
         tokio::time::sleep(Duration::from_millis(200)).await;
         for server in &state.upstreams {
-            self.rig.fleet.inject(&server.id, Fault::Retire { version: old });
+            self.rig
+                .fleet
+                .inject(&server.id, Fault::Retire { version: old });
         }
         Ok(())
     }
@@ -132,16 +157,30 @@
         self.print("first call", service, request, &first);
         let second = self.call(service, request, Some(&key)).await?;
         self.print("same key, through another VM", service, request, &second);
-        let runs = self.rig.fleet.runs().get(key.as_str()).copied().unwrap_or(0);
+        let runs = self
+            .rig
+            .fleet
+            .runs()
+            .get(key.as_str())
+            .copied()
+            .unwrap_or(0);
         self.note(&format!("the servers ran it {runs} time(s)"));
         Ok(())
     }
 
     /// Sends a request to the next entry VM, as a balancer does.
-    async fn call(&mut self, service: &str, request: &str, key: Option<&str>) -> Result<Value, RigError> {
+    async fn call(
+        &mut self,
+        service: &str,
+        request: &str,
+        key: Option<&str>,
+    ) -> Result<Value, RigError> {
         let entry = &self.rig.entries[self.sent % self.rig.entries.len()];
         self.sent += 1;
-        let uri = format!("http://{}/v1/services/{service}/requests/{request}", entry.addr());
+        let uri = format!(
+            "http://{}/v1/services/{service}/requests/{request}",
+            entry.addr()
+        );
         let mut builder = Request::builder()
             .method(Method::POST)
             .uri(uri)
@@ -150,9 +189,16 @@
             builder = builder.header("idempotency-key", key);
         }
         let body = r#"{"body":{"text":"oak"},"explain":true}"#;
-        let request = builder.body(Full::new(Bytes::from_static(body.as_bytes()))).map_err(RigError::new)?;
+        let request = builder
+            .body(Full::new(Bytes::from_static(body.as_bytes())))
+            .map_err(RigError::new)?;
         let response = self.http.request(request).await.map_err(RigError::new)?;
-        let body = response.into_body().collect().await.map_err(RigError::new)?.to_bytes();
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(RigError::new)?
+            .to_bytes();
         serde_json::from_slice(&body).map_err(RigError::new)
     }
 
@@ -186,17 +232,19 @@
         let coverage = &answer["coverage"];
         let explanation = &answer["explanation"];
         let snapshot = &explanation["snapshot"];
-        let version = snapshot["version"].as_u64().map_or("-".to_owned(), |version| {
-            format!("v{version}/m{}", snapshot["map"])
-        });
+        let version = snapshot["version"]
+            .as_u64()
+            .map_or("-".to_owned(), |version| {
+                format!("v{version}/m{}", snapshot["map"])
+            });
         println!(
             "{what:<40} {:<9} {:>4}  {:>8} {:>14}  {version:>8}  {:>8} {:>6}  {}",
             answer["outcome"].as_str().unwrap_or("-"),
-            answer["code"],
+            answer["code"].to_string(),
             format!("{}/{}", coverage["answered"], coverage["shards"]),
             format!("{}/{}", coverage["covered"], coverage["members"]),
-            explanation["attempts"],
-            explanation["elapsed_ms"],
+            explanation["attempts"].to_string(),
+            explanation["elapsed_ms"].to_string(),
             describe_missing(&coverage["missing"]),
         );
     }
@@ -206,7 +254,17 @@
     let shards = missing.as_array().map(Vec::as_slice).unwrap_or_default();
     let words: Vec<String> = shards
         .iter()
-        .map(|shard| format!("{} ({})", shard["shard"], shard["reason"].as_str().unwrap_or("-")))
+        .map(|shard| {
+            format!(
+                "{} ({})",
+                shard["shard"],
+                shard["reason"].as_str().unwrap_or("-")
+            )
+        })
         .collect();
-    if words.is_empty() { "none".into() } else { words.join(", ") }
+    if words.is_empty() {
+        "none".into()
+    } else {
+        words.join(", ")
+    }
 }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -45,7 +45,9 @@
 impl RigError {
     /// Wraps the error of a part.
     pub fn new(reason: impl ToString) -> RigError {
-        RigError { reason: reason.to_string() }
+        RigError {
+            reason: reason.to_string(),
+        }
     }
 }
 
@@ -67,14 +69,27 @@
 impl Rig {
     /// Starts a deployment with `nodes` entry VMs, spread over its zones, and publishes its example declarations.
     pub async fn start(mut deployment: Deployment, nodes: u32, seed: u64) -> Result<Rig, RigError> {
-        let platform =
-            serve_platform(loopback(), Duration::ZERO).await.map_err(RigError::new)?;
-        let options = Options { seed, delays: Default::default(), control: loopback() };
-        let fleet = Fleet::start(&mut deployment, options).await.map_err(RigError::new)?;
+        let platform = serve_platform(loopback(), Duration::ZERO)
+            .await
+            .map_err(RigError::new)?;
+        let options = Options {
+            seed,
+            delays: Default::default(),
+            control: loopback(),
+        };
+        let fleet = Fleet::start(&mut deployment, options)
+            .await
+            .map_err(RigError::new)?;
         let store = Client::new(ClientOptions::new(platform.addr(), seed));
         register_indexes(&store, &deployment).await?;
         publish_examples(&store, &deployment.name).await?;
-        let mut rig = Rig { deployment, platform, fleet, entries: Vec::new(), store };
+        let mut rig = Rig {
+            deployment,
+            platform,
+            fleet,
+            entries: Vec::new(),
+            store,
+        };
         for number in 0..nodes {
             rig.start_entry(number, seed).await?;
         }
@@ -154,7 +169,11 @@
 
 /// Returns the example declarations of a deployment as pairs of file name and text.
 pub fn list_examples(deployment: &str) -> Vec<(&'static str, &'static str)> {
-    let files = EXAMPLES.get_dir(deployment).map(|dir| dir.files()).into_iter().flatten();
+    let files = EXAMPLES
+        .get_dir(deployment)
+        .map(|dir| dir.files())
+        .into_iter()
+        .flatten();
     files
         .filter_map(|file| Some((file.path().file_name()?.to_str()?, file.contents_utf8()?)))
         .filter(|(name, _)| name.ends_with(".toml"))
@@ -163,12 +182,22 @@
 
 /// Publishes the example declarations of a deployment.
 async fn publish_examples(store: &Client, deployment: &str) -> Result<(), RigError> {
-    let mut catalogue = Catalogue { revision: 1, publish: "example".into(), ..Catalogue::default() };
+    let mut catalogue = Catalogue {
+        revision: 1,
+        publish: "example".into(),
+        ..Catalogue::default()
+    };
     for (file, text) in list_examples(deployment) {
         let declaration: Declaration =
             parse_declaration(file, text).map_err(|faults| RigError::new(&faults[0]))?;
-        let entry = CatalogueEntry { file: file.into(), changed: 1, declaration };
-        catalogue.entries.insert(entry.declaration.service.clone(), entry);
+        let entry = CatalogueEntry {
+            file: file.into(),
+            changed: 1,
+            declaration,
+        };
+        catalogue
+            .entries
+            .insert(entry.declaration.service.clone(), entry);
     }
     write_object(store, "config", "catalogue", &catalogue).await
 }
--- a/crates/limpetwick/src/main.rs
+++ b/crates/limpetwick/src/main.rs
@@ -82,9 +82,16 @@
 async fn upstreams(args: flags::Upstreams) -> ExitCode {
     let seed = args.seed.unwrap_or(1);
     let Some(mut deployment) = build_example(&args.deployment, seed) else {
-        return fail(EXIT_USAGE, format!("no example deployment is named {:?}", args.deployment));
+        return fail(
+            EXIT_USAGE,
+            format!("no example deployment is named {:?}", args.deployment),
+        );
+    };
+    let options = Options {
+        seed,
+        delays: Default::default(),
+        control: ([127, 0, 0, 1], 0).into(),
     };
-    let options = Options { seed, delays: Default::default(), control: ([127, 0, 0, 1], 0).into() };
     let fleet = match Fleet::start(&mut deployment, options).await {
         Ok(fleet) => fleet,
         Err(error) => return fail(EXIT_FAILED, error),
@@ -93,7 +100,11 @@
     if let Err(error) = register_indexes(&store, &deployment).await {
         return fail(EXIT_FAILED, error);
     }
-    println!("upstream stand-ins of {}, control on {}", deployment.name, fleet.control());
+    println!(
+        "upstream stand-ins of {}, control on {}",
+        deployment.name,
+        fleet.control()
+    );
     wait_for_stop().await;
     ExitCode::SUCCESS
 }
