Keep the configuration in force and pass on what changed

Cause: a node must never revert to a lower revision and must know when a higher one may be in force elsewhere.

Change: InForce accepts only higher revisions and is fresh for 4 s after a confirmation that matches or led to its revision. Peers exchange a delta of the entries changed since a revision.

Accepting lower revisions, confirming from a lagging source, or confirming before the awaited revision each fail a test.

--- /dev/null
+++ b/crates/conf/tests/in_force.rs
@@ -0,0 +1,151 @@
+//! The configuration in force on a node: it never reverts, and it knows when it may be outdated.
+
+use std::sync::LazyLock;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+use conf::FRESH_BOUND;
+use conf::Freshness;
+use conf::InForce;
+use conf::Offered;
+use conf::Update;
+use decl::Catalogue;
+use decl::Changes;
+use decl::parse_declaration;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Returns the revisions from zero to `count`, of which every third one removes the service.
+fn revisions(count: u64) -> Vec<Catalogue> {
+    let mut all = vec![Catalogue::default()];
+    for step in 1..=count {
+        let text = format!(
+            "service = \"s\"\nindex = \"i\"\nshards = \"all\"\ndeadline = \"{}ms\"\n",
+            step + 1
+        );
+        let content = (step % 3 != 0).then(|| parse_declaration("a.toml", &text).unwrap());
+        let changes = Changes::from([("a.toml".into(), content)]);
+        let next = all[all.len() - 1].with_changes(&changes, &format!("p{step}"));
+        all.push(next.unwrap().unwrap());
+    }
+    all
+}
+
+/// Guards against a freshness bound other than 4 s, and against freshness without any confirmation.
+#[rstest]
+#[case::at_the_bound(Some(1), 4000, true)]
+#[case::past_the_bound(Some(1), 4001, false)]
+#[case::never_confirmed(None, 0, false)]
+#[case::newer_revision_known(Some(2), 0, false)]
+fn test_freshness_bound(#[case] confirmed: Option<u64>, #[case] age: u32, #[case] fresh: bool) {
+    let now = Instant::now();
+    let mut in_force = InForce::new(now);
+    in_force.offer(revisions(1).remove(1), now);
+    if let Some(revision) = confirmed {
+        in_force.confirm(revision, now);
+    }
+    let age = age * MS;
+    let expected = if fresh {
+        Freshness::Fresh
+    } else {
+        Freshness::Cautious { age }
+    };
+    assert_eq!(in_force.freshness(now + age), expected);
+}
+
+/// Guards against a lagging source whose outdated report makes a later revision look confirmed.
+#[test]
+fn test_lagging_source_confirms_nothing() {
+    let now = Instant::now();
+    let mut in_force = InForce::new(now);
+    in_force.offer(revisions(2).remove(2), now);
+    in_force.confirm(1, now);
+    in_force.offer(revisions(3).remove(3), now);
+    let age = Duration::ZERO;
+    assert_eq!(in_force.freshness(now), Freshness::Cautious { age });
+}
+
+/// Guards against a delta with a gap that is applied, and against a peer that gets less than it needs.
+#[test]
+fn test_delta_with_a_gap_is_not_applied() {
+    let now = Instant::now();
+    let all = revisions(8);
+    let mut sender = InForce::new(now);
+    sender.offer(all[8].clone(), now);
+    let mut receiver = InForce::new(now);
+    receiver.offer(all[2].clone(), now);
+    let gap = sender.update_since(3).unwrap();
+    assert_eq!(receiver.offer_update(gap, now), Offered::Gap);
+    assert_eq!(receiver.revision(), 2);
+    let update = sender.update_since(2).unwrap();
+    assert!(matches!(update, Update::Delta(_)));
+    assert_eq!(receiver.offer_update(update.clone(), now), Offered::Changed);
+    assert_eq!(receiver.catalogue(), sender.catalogue());
+    assert_eq!(receiver.offer_update(update, now), Offered::Unchanged);
+    assert_eq!(sender.update_since(8), None);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Publish,
+    Advance(u32),
+    /// Offers a revision this far behind the platform's.
+    Offer(u64),
+    /// Confirms what the platform had this many milliseconds ago.
+    Confirm(u32),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        Just(Step::Publish),
+        (0_u32..3000).prop_map(Step::Advance),
+        (0_u64..4).prop_map(Step::Offer),
+        (0_u32..6000).prop_map(Step::Confirm),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        cases: 1000,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a node that reverts to a lower revision, and against one that claims to be fresh although the
+    /// platform has had a higher revision for more than 4 s.
+    #[test]
+    fn test_revision_never_decreases_and_fresh_is_true(steps in prop::collection::vec(any_step(), 0..60)) {
+        static ALL: LazyLock<Vec<Catalogue>> = LazyLock::new(|| revisions(60));
+        let all = &*ALL;
+        let start = Instant::now();
+        let mut now = start + 6000 * MS;
+        let mut accepted = vec![start];
+        let mut in_force = InForce::new(now);
+        let platform = |accepted: &[Instant], at: Instant| accepted.iter().filter(|t| **t <= at).count() as u64 - 1;
+        for step in steps {
+            let before = in_force.revision();
+            match step {
+                Step::Publish => accepted.push(now),
+                Step::Advance(ms) => now += ms * MS,
+                Step::Offer(behind) => {
+                    let revision = platform(&accepted, now).saturating_sub(behind);
+                    let changed = in_force.offer(all[revision as usize].clone(), now);
+                    prop_assert_eq!(changed, revision > before);
+                }
+                Step::Confirm(ago) => {
+                    let at = now - ago * MS;
+                    in_force.confirm(platform(&accepted, at), at);
+                }
+            }
+            prop_assert!(in_force.revision() >= before);
+            if in_force.freshness(now) == Freshness::Fresh {
+                prop_assert!(in_force.revision() >= platform(&accepted, now - FRESH_BOUND));
+            }
+        }
+    }
+}
