Add the state machine of a publish

Cause: operators publish at nearly the same moment, and the platform may lose the reply of an update that took effect.

Change: Publish reads the catalogue, compares the files with a base revision, and writes the next revision under its publish id. A lost reply is settled by sending the same update again until the version moves and then reading the log. Publishes of disjoint files are rebased; a changed file is refused by name and revision.

Measured: 3,000 random interleavings of two or three publishers with lost, late and refused updates and lagging reads lose no accepted publish.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,3 +1,4 @@
+//! The configuration in force on a node, and the rules of publishing a new one.
 //!
 //! Nothing here does I/O or reads a clock, so that the same code runs in the binary and in exhaustive tests.
 //!
@@ -17,9 +18,15 @@
 //! ```
 
 mod in_force;
+mod publish;
 
 pub use crate::in_force::FRESH_BOUND;
 pub use crate::in_force::Freshness;
 pub use crate::in_force::InForce;
 pub use crate::in_force::Offered;
 pub use crate::in_force::Update;
+pub use crate::publish::Action;
+pub use crate::publish::Event;
+pub use crate::publish::Publish;
+pub use crate::publish::Published;
+pub use crate::publish::Refusal;
--- /dev/null
+++ b/crates/conf/tests/publish.rs
@@ -0,0 +1,307 @@
+//! Publishes against a small fake store that loses, delays and refuses updates, and whose reads lag.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+use conf::Action;
+use conf::Event;
+use conf::Publish;
+use conf::Published;
+use conf::Refusal;
+use decl::Catalogue;
+use decl::Changes;
+use decl::Declaration;
+use decl::parse_declaration;
+
+fn declare(file: u8, shard: usize) -> Declaration {
+    let text = format!(
+        "service = \"s{file}\"\nindex = \"plan-desk\"\nshards = {{ names = [{shard}] }}\ndeadline = \"1s\"\n"
+    );
+    parse_declaration("a.toml", &text).unwrap()
+}
+
+/// Returns changes of the files in a bit mask, with a content that only the given publisher writes.
+fn change(files: u8, publisher: usize) -> Changes {
+    let chosen = (0..3).filter(|file| files & (1 << file) != 0);
+    chosen
+        .map(|file| {
+            (
+                format!("{file}.toml").into(),
+                Some(declare(file, publisher)),
+            )
+        })
+        .collect()
+}
+
+/// Faults that every publisher must get over, well below the limits of its reads and updates.
+const FEW: usize = 8;
+
+/// Holds every accepted catalogue by its version, and updates that arrive later.
+#[derive(Default)]
+struct Fake {
+    accepted: Vec<Catalogue>,
+    delayed: Vec<(u64, Arc<Catalogue>)>,
+}
+
+impl Fake {
+    fn version(&self) -> u64 {
+        self.accepted.len() as u64
+    }
+
+    fn read(&self, lag: u64) -> Event {
+        let version = self.version().saturating_sub(lag);
+        let at = (version as usize).checked_sub(1);
+        let catalogue = at.map_or_else(Catalogue::default, |at| self.accepted[at].clone());
+        Event::Found {
+            version,
+            catalogue: Box::new(catalogue),
+        }
+    }
+
+    fn update(&mut self, if_version: u64, catalogue: &Catalogue) -> Event {
+        let version = self.version();
+        if if_version != version {
+            return Event::Conflict { version };
+        }
+        let last = self.accepted.last().map_or(0, |held| held.revision);
+        assert_eq!(catalogue.revision, last + 1, "the revision must increment");
+        self.accepted.push(catalogue.clone());
+        Event::Applied
+    }
+
+    /// Carries out an action with a fault, and returns its result as the publisher sees it.
+    fn perform(&mut self, action: &Action, fault: u8) -> Option<Event> {
+        let event = match (action, fault) {
+            (Action::Finish(_), _) => return None,
+            (Action::Read { .. }, 1) => Event::ReadFailed,
+            (Action::Read { .. }, 2) => self.read(1),
+            (Action::Read { .. }, 3) => self.read(2),
+            (Action::Read { .. }, _) => self.read(0),
+            (Action::Update { .. }, 1) => Event::NotSent,
+            (Action::Update { .. }, 2) => Event::ReplyLost,
+            (
+                Action::Update {
+                    if_version,
+                    catalogue,
+                },
+                fault,
+            ) => {
+                if fault == 4 {
+                    self.delayed.push((*if_version, Arc::clone(catalogue)));
+                    return Some(Event::ReplyLost);
+                }
+                let event = self.update(*if_version, catalogue);
+                if fault == 3 { Event::ReplyLost } else { event }
+            }
+        };
+        Some(event)
+    }
+
+    fn deliver_one(&mut self) -> bool {
+        let Some((if_version, catalogue)) = self.delayed.pop() else {
+            return false;
+        };
+        self.update(if_version, &catalogue);
+        true
+    }
+}
+
+struct Publisher {
+    files: u8,
+    faults: usize,
+    machine: Publish,
+    action: Action,
+}
+
+impl Publisher {
+    fn new(number: usize, files: u8) -> Publisher {
+        let mut machine = Publish::new(format!("p{number}"), change(files, number), None);
+        let action = machine.handle(Event::Start);
+        Publisher {
+            files,
+            faults: 0,
+            machine,
+            action,
+        }
+    }
+
+    fn step(&mut self, store: &mut Fake, fault: u8) {
+        self.faults += usize::from((1..5).contains(&fault));
+        if let Some(event) = store.perform(&self.action, fault) {
+            self.action = self.machine.handle(event);
+        }
+    }
+
+    fn result(&self) -> Option<&Published> {
+        match &self.action {
+            Action::Finish(published) => Some(published),
+            Action::Read { .. } | Action::Update { .. } => None,
+        }
+    }
+}
+
+/// Checks one publisher's report, and that it overwrote no publish that it had not seen.
+fn check_publisher(number: usize, publishers: &[Publisher], store: &Fake) {
+    let publisher = &publishers[number];
+    let id = format!("p{number}");
+    let made: Vec<&Catalogue> = store.accepted.iter().filter(|c| c.publish == id).collect();
+    assert!(made.len() <= 1, "{id} was applied more than once");
+    match publisher.result() {
+        Some(Published::Accepted { revision }) => assert_eq!(made[0].revision, *revision),
+        Some(Published::Refused(refusal)) => assert!(made.is_empty(), "{refusal}"),
+        Some(Published::Unknown { .. }) => {
+            assert!(publisher.faults > FEW, "{id} was not settled");
+        }
+        Some(Published::Unchanged { .. }) | None => panic!("{id}: {:?}", publisher.action),
+    }
+    let Some(made) = made.first() else { return };
+    let base = publisher.machine.base().unwrap();
+    for record in made.log.iter().filter(|record| record.revision > base) {
+        let other = publishers.iter().enumerate();
+        let mut other = other.filter(|(at, _)| *at != number && record.publish == format!("p{at}"));
+        assert!(other.all(|(_, other)| other.files & publisher.files == 0));
+    }
+}
+
+/// Checks that each file has the content of the last accepted publish that changed it.
+fn check_contents(publishers: &[Publisher], store: &Fake) {
+    let last = store.accepted.last().cloned().unwrap_or_default();
+    for file in 0..3_u8 {
+        let mut writers = store.accepted.iter().rev().filter_map(|catalogue| {
+            let number: usize = catalogue.publish[1..].parse().unwrap();
+            (publishers[number].files & (1 << file) != 0).then_some(number)
+        });
+        let expected = writers.next().map(|number| declare(file, number));
+        assert!(last.has_file(&format!("{file}.toml"), expected.as_ref()));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        cases: 3000,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against an accepted publish that is lost or applied twice, a refused one that takes effect, and a revision
+    /// that decreases, when replies are lost and updates arrive late.
+    #[test]
+    fn test_interleaved_publishes_lose_nothing(
+        files in prop::collection::vec(1_u8..8, 2..4),
+        steps in prop::collection::vec((0_usize..3, 0_u8..6), 0..40),
+    ) {
+        let mut store = Fake::default();
+        let numbered = files.iter().enumerate();
+        let mut publishers: Vec<Publisher> =
+            numbered.map(|(number, files)| Publisher::new(number, *files)).collect();
+        let count = publishers.len();
+        for (who, fault) in steps {
+            if fault == 5 {
+                store.deliver_one();
+            }
+            publishers[who % count].step(&mut store, fault);
+        }
+        for turn in 0..60 * count {
+            publishers[turn % count].step(&mut store, 0);
+        }
+        while store.deliver_one() {}
+        for number in 0..count {
+            check_publisher(number, &publishers, &store);
+        }
+        check_contents(&publishers, &store);
+    }
+}
+
+/// Publishes files to the end without faults.
+fn publish(store: &mut Fake, machine: &mut Publish) -> Published {
+    let mut action = machine.handle(Event::Start);
+    loop {
+        match store.perform(&action, 0) {
+            Some(event) => action = machine.handle(event),
+            None => break,
+        }
+    }
+    let Action::Finish(published) = action else {
+        unreachable!("only a finished publish has no result")
+    };
+    published
+}
+
+/// Guards against an operator's old base that silently overwrites what others published since.
+#[rstest]
+#[case::same_file(
+    1,
+    Some(0),
+    Err("0.toml was changed at revision 1, after base revision 0")
+)]
+#[case::other_file(2, Some(0), Ok(3))]
+#[case::current_base(1, Some(2), Ok(3))]
+#[case::unknown_base(1, Some(9), Err("base revision 9 cannot be compared with revision 2"))]
+fn test_base_revision_is_compared_by_file(
+    #[case] files: u8,
+    #[case] base: Option<u64>,
+    #[case] expected: Result<u64, &str>,
+) {
+    let mut store = Fake::default();
+    for (number, files) in [(0, 1), (1, 4)] {
+        let mut machine = Publish::new(format!("p{number}"), change(files, number), None);
+        publish(&mut store, &mut machine);
+    }
+    let mut machine = Publish::new("p2", change(files, 2), base);
+    let result = match publish(&mut store, &mut machine) {
+        Published::Accepted { revision } => Ok(revision),
+        Published::Refused(refusal) => Err(refusal.to_string()),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(result, expected.map_err(str::to_owned));
+}
+
+/// Guards against a publish that claims to be refused while its update is still under way.
+#[rstest]
+#[case::before_any_update(false, Published::Refused(Refusal::Unavailable))]
+#[case::update_in_flight(true, Published::Unknown { revision: 1 })]
+fn test_giving_up_reports_what_may_have_happened(#[case] sent: bool, #[case] expected: Published) {
+    let store = Fake::default();
+    let mut machine = Publish::new("p0", change(1, 0), None);
+    machine.handle(Event::Start);
+    if sent {
+        machine.handle(store.read(0));
+    }
+    assert_eq!(machine.handle(Event::GiveUp), Action::Finish(expected));
+}
+
+/// Guards against a publish that is repeated although it may have been accepted before the log's first record.
+#[test]
+fn test_outcome_beyond_the_log_is_unknown() {
+    let mut machine = Publish::new("p0", change(1, 0), None);
+    machine.handle(Event::Start);
+    machine.handle(Fake::default().read(0));
+    machine.handle(Event::ReplyLost);
+    let catalogue = Box::new(Catalogue {
+        revision: 300,
+        ..Catalogue::default()
+    });
+    let version = 300;
+    let action = machine.handle(Event::Found { version, catalogue });
+    let unknown = Published::Unknown { revision: 1 };
+    assert_eq!(action, Action::Finish(unknown));
+}
+
+/// Guards against a publish that never ends when the platform stays down.
+#[test]
+fn test_platform_down_ends_the_publish() {
+    let mut machine = Publish::new("p0", change(1, 0), None);
+    let mut action = machine.handle(Event::Start);
+    for _ in 0..20 {
+        action = match action {
+            Action::Read { .. } => machine.handle(Event::ReadFailed),
+            other => other,
+        };
+    }
+    let refused = Published::Refused(Refusal::Unavailable);
+    assert_eq!(action, Action::Finish(refused));
+}
