--- a/crates/conf/tests/publish.rs
+++ b/crates/conf/tests/publish.rs
@@ -219,11 +219,8 @@
 /// Publishes files to the end without faults.
 fn publish(store: &mut Fake, machine: &mut Publish) -> Published {
     let mut action = machine.handle(Event::Start);
-    loop {
-        match store.perform(&action, 0) {
-            Some(event) => action = machine.handle(event),
-            None => break,
-        }
+    while let Some(event) = store.perform(&action, 0) {
+        action = machine.handle(event);
     }
     let Action::Finish(published) = action else {
         unreachable!("only a finished publish has no result")
