Add the ledger of claims and its transition functions

A request that is not repeatable needs a record in the platform before it is sent, which a retry through any VM finds. The ledger holds the claims of one platform object. Claim, revoke, settle and expire are pure and idempotent, so that a home can resolve a lost reply by applying them again, and a model checker can use them.

A revocation without a claim adds a record, because a copy of the claim request may arrive after it. New claims stop at 448 KB of 512 KB; the rest is for revocations. A result over 1 KB is dropped, its code stays.

--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,1 +1,54 @@
-//! Claims for requests that run at most once.
+//! Claims for requests that run at most once, and the ledger objects that hold them.
+//!
+//! A request that is not declared repeatable is claimed in a platform object before it is sent, so that a caller's
+//! retry through any VM finds the claim and gets the first outcome instead of a second run. The protocol is described
+//! in `docs/design.md`, section 5, "At most once".
+//!
+//! [`Ledger`] is the value of one platform object with its transition functions.
+//!
+//! # Time
+//!
+//! A claim has a send window. Its owner measures the window on its own monotonic and wall clocks from a moment before
+//! it asked for the claim, and checks it at the moment of sending; so a process that was paused doesn't send late, and
+//! no two clocks are compared. The ledger keeps the end of the window by the wall clock of the home that wrote it.
+//! Only expiry compares that with another VM's clock, and it waits for [`Retention`], which is far longer than a
+//! window and [`MAX_SKEW_MS`] together.
+//!
+//! ```
+//! use once::ClaimKey;
+//! use once::ClaimSpec;
+//! use once::Ledger;
+//! use once::Verdict;
+//!
+//! let key = ClaimKey::new("advisers", "order-17").expect("the key is short");
+//! let spec = ClaimSpec { key, attempt: 1, digest: 7, window_ms: 500 };
+//! let retry = ClaimSpec { attempt: 2, ..spec.clone() };
+//!
+//! let mut ledger = Ledger::default();
+//! assert_eq!(ledger.claim(&spec, 1_000).verdict, Verdict::Granted { deadline_ms: 1_500 });
+//! assert_eq!(ledger.claim(&retry, 1_001).verdict, Verdict::InProgress);
+//! ```
+
+mod claim;
+mod ledger;
+
+pub use crate::claim::Claim;
+pub use crate::claim::ClaimKey;
+pub use crate::claim::ClaimSpec;
+pub use crate::claim::KEY_LIMIT;
+pub use crate::claim::KeyError;
+pub use crate::claim::LEDGERS;
+pub use crate::claim::LedgerId;
+pub use crate::claim::Moment;
+pub use crate::claim::Operation;
+pub use crate::claim::RESULT_LIMIT;
+pub use crate::claim::Request;
+pub use crate::claim::Settlement;
+pub use crate::claim::Verdict;
+pub use crate::claim::digest_request;
+pub use crate::ledger::CLAIM_ROOM;
+pub use crate::ledger::LEDGER_LIMIT;
+pub use crate::ledger::Ledger;
+pub use crate::ledger::MAX_SKEW_MS;
+pub use crate::ledger::Retention;
+pub use crate::ledger::Transition;
--- /dev/null
+++ b/crates/once/tests/ledger.rs
@@ -0,0 +1,199 @@
+//! Transition functions of the ledger.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+use base::Code;
+use once::CLAIM_ROOM;
+use once::ClaimKey;
+use once::ClaimSpec;
+use once::LEDGER_LIMIT;
+use once::Ledger;
+use once::MAX_SKEW_MS;
+use once::RESULT_LIMIT;
+use once::Retention;
+use once::Settlement;
+use once::Verdict;
+
+const START_MS: u64 = 1_000_000;
+const WINDOW_MS: u64 = 500;
+
+fn spec(key: &str, attempt: u64) -> ClaimSpec {
+    ClaimSpec {
+        key: ClaimKey::new("advisers", key).expect("the key is valid"),
+        attempt,
+        digest: 7,
+        window_ms: WINDOW_MS,
+    }
+}
+
+fn answered(result: &str) -> Settlement {
+    Settlement {
+        code: Code::Answered,
+        result: Some(result.into()),
+    }
+}
+
+/// Fills a ledger with claims until it takes no more, and returns how many it took.
+fn fill(ledger: &mut Ledger) -> u64 {
+    (1..)
+        .find(|n| {
+            ledger
+                .claim(&spec(&format!("key-{n}"), *n), START_MS)
+                .verdict
+                == Verdict::Full
+        })
+        .expect("a ledger fills up")
+        - 1
+}
+
+/// Guards against a second run: whatever another attempt or request finds must not be a grant.
+#[rstest]
+#[case::retry_while_in_progress(None, 2, 7, Verdict::InProgress)]
+#[case::retry_after_outcome(Some(answered("1")), 2, 7, Verdict::Settled(answered("1")))]
+#[case::late_copy_after_outcome(Some(answered("1")), 1, 7, Verdict::Settled(answered("1")))]
+#[case::key_reused_in_progress(None, 2, 8, Verdict::KeyReused)]
+#[case::key_reused_after_outcome(Some(answered("1")), 2, 8, Verdict::KeyReused)]
+fn a_claimed_key_is_not_granted_again(
+    #[case] outcome: Option<Settlement>,
+    #[case] attempt: u64,
+    #[case] digest: u64,
+    #[case] expected: Verdict,
+) {
+    let mut ledger = Ledger::default();
+    let first = spec("k", 1);
+    assert!(ledger.claim(&first, START_MS).changed);
+    if let Some(outcome) = outcome {
+        assert!(ledger.settle(&first.key, 1, &outcome).changed);
+    }
+    let other = ClaimSpec {
+        digest,
+        ..spec("k", attempt)
+    };
+    let transition = ledger.claim(&other, START_MS);
+    assert_eq!(transition.verdict, expected);
+    assert!(!transition.changed);
+}
+
+/// Guards against a revoked request that runs later: a copy of the claim request may arrive after the revocation.
+#[rstest]
+#[case::claimed_before(true)]
+#[case::claim_arrives_late(false)]
+fn a_revocation_refuses_later_claims(#[case] claimed: bool) {
+    let mut ledger = Ledger::default();
+    if claimed {
+        ledger.claim(&spec("k", 1), START_MS);
+    }
+    let revoked = Verdict::Settled(Settlement::bare(Code::NoUpstream));
+    for attempt in [1, 1, 2] {
+        let revoke = ledger.revoke(&spec("k", attempt), Code::NoUpstream, START_MS);
+        assert_eq!(revoke.verdict, revoked);
+        assert_eq!(ledger.claim(&spec("k", attempt), START_MS).verdict, revoked);
+    }
+    let settle = ledger.settle(&spec("k", 1).key, 1, &answered("1"));
+    assert_eq!(settle.verdict, revoked);
+}
+
+/// Guards against one attempt that revokes or settles the claim of another.
+#[rstest]
+fn only_the_owner_ends_a_claim() {
+    let mut ledger = Ledger::default();
+    ledger.claim(&spec("k", 1), START_MS);
+    let before = ledger.clone();
+    let revoke = ledger.revoke(&spec("k", 2), Code::ClaimRevoked, START_MS);
+    assert_eq!(revoke.verdict, Verdict::InProgress);
+    let settle = ledger.settle(&spec("k", 2).key, 2, &answered("2"));
+    assert_eq!(settle.verdict, Verdict::InProgress);
+    assert_eq!(ledger, before);
+}
+
+/// Guards against claims that are lost, or revocations that are refused, when a ledger is nearly full.
+#[rstest]
+fn a_full_ledger_refuses_claims_and_keeps_the_rest() {
+    let mut ledger = Ledger::default();
+    let count = fill(&mut ledger);
+    assert_eq!(ledger.len() as u64, count);
+    assert!(ledger.size() <= CLAIM_ROOM);
+
+    let revoked = ledger.revoke(&spec("late", 9), Code::ClaimRevoked, START_MS);
+    assert!(revoked.changed);
+    for n in 1..=count {
+        let spec = spec(&format!("key-{n}"), n);
+        let settle = ledger.settle(&spec.key, n, &answered(&"7".repeat(RESULT_LIMIT)));
+        assert!(matches!(settle.verdict, Verdict::Settled(kept) if kept.code == Code::Answered));
+    }
+    let text = serde_json::to_string(&ledger).expect("a ledger is valid JSON");
+    assert!(text.len() <= ledger.size() && ledger.size() <= LEDGER_LIMIT);
+
+    let refused = (0..).find(|n| {
+        ledger
+            .revoke(
+                &spec(&format!("revoked-{n}"), 9),
+                Code::ClaimRevoked,
+                START_MS,
+            )
+            .verdict
+            == Verdict::Full
+    });
+    assert!(refused.is_some() && ledger.size() <= LEDGER_LIMIT);
+}
+
+/// Guards against a result that displaces claims: one that is too long is dropped, the code stays.
+#[rstest]
+#[case::fits(RESULT_LIMIT, true)]
+#[case::too_long(RESULT_LIMIT + 1, false)]
+fn a_result_is_kept_within_its_limit(#[case] length: usize, #[case] kept: bool) {
+    let mut ledger = Ledger::default();
+    ledger.claim(&spec("k", 1), START_MS);
+    ledger.settle(&spec("k", 1).key, 1, &answered(&"7".repeat(length)));
+    let outcome = ledger
+        .lookup(&spec("k", 1).key)
+        .and_then(|claim| claim.outcome.clone());
+    assert_eq!(
+        outcome.map(|end| (end.code, end.result.is_some())),
+        Some((Code::Answered, kept))
+    );
+}
+
+/// Guards against expiry while a copy may be in flight, by a home whose clock is ahead by the largest skew.
+#[rstest]
+#[case::settled(true, Retention::default().settled_ms)]
+#[case::in_progress(false, Retention::default().open_ms)]
+fn expiry_waits_for_the_retention(#[case] settled: bool, #[case] keep_ms: u64) {
+    let mut ledger = Ledger::default();
+    ledger.claim(&spec("k", 1), START_MS);
+    if settled {
+        ledger.settle(&spec("k", 1).key, 1, &answered("1"));
+    }
+    let deadline_ms = START_MS + WINDOW_MS;
+    assert!(keep_ms > 60_000 + 2 * MAX_SKEW_MS);
+    assert_eq!(
+        ledger.expire(deadline_ms + keep_ms - 1, &Retention::default()),
+        0
+    );
+    assert_eq!(
+        ledger.expire(deadline_ms + keep_ms, &Retention::default()),
+        1
+    );
+    assert_eq!(ledger, Ledger::default());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::with_cases(64) })]
+
+    /// Guards against a ledger that outgrows its object, or loses a claim, on the way through JSON.
+    #[test]
+    fn the_size_bounds_the_json(entries in prop::collection::vec((".{1,40}", any::<u64>(), ".{0,60}"), 0..20)) {
+        let mut ledger = Ledger::default();
+        for (key, attempt, result) in &entries {
+            let spec = ClaimSpec { digest: *attempt, ..spec(key, *attempt) };
+            ledger.claim(&spec, u64::MAX / 2);
+            ledger.settle(&spec.key, *attempt, &answered(result));
+        }
+        let text = serde_json::to_string(&ledger).expect("a ledger is valid JSON");
+        prop_assert!(text.len() <= ledger.size());
+        let read: Ledger = serde_json::from_str(&text).expect("a ledger can be read back");
+        prop_assert_eq!(read, ledger);
+    }
+}
