Add the home, which batches claims into conditional updates

The platform takes a few hundred writes a second, so claims, revocations and settlements for one ledger object share an update. There is one update in flight for each object, and a token bucket over all objects of a home. A settlement waits up to 200 ms for a claim to travel with.

A lost reply is resolved by reading back and applying the requests again. An update of unknown result may take effect after the read, so its requests are only told that nothing was written once a value with a higher version shows that their attempt holds no claim; a conflict alone doesn't prove it. A claim request older than 30 s is refused, because its key may have expired.

--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -4,7 +4,8 @@
 //! retry through any VM finds the claim and gets the first outcome instead of a second run. The protocol is described
 //! in `docs/design.md`, section 5, "At most once".
 //!
-//! [`Ledger`] is the value of one platform object with its transition functions.
+//! [`Ledger`] is the value of one platform object with its transition functions. [`Home`] batches requests for its
+//! ledgers into conditional updates. The machine performs no I/O and reads no clock.
 //!
 //! # Time
 //!
@@ -30,7 +31,10 @@
 //! ```
 
 mod claim;
+mod home;
 mod ledger;
+mod pace;
+mod slot;
 
 pub use crate::claim::Claim;
 pub use crate::claim::ClaimKey;
@@ -46,6 +50,12 @@
 pub use crate::claim::Settlement;
 pub use crate::claim::Verdict;
 pub use crate::claim::digest_request;
+pub use crate::home::Home;
+pub use crate::home::HomeAction;
+pub use crate::home::HomeEvent;
+pub use crate::home::HomeOptions;
+pub use crate::home::ReadResult;
+pub use crate::home::WriteResult;
 pub use crate::ledger::CLAIM_ROOM;
 pub use crate::ledger::LEDGER_LIMIT;
 pub use crate::ledger::Ledger;
--- /dev/null
+++ b/crates/once/src/pace.rs
@@ -0,0 +1,34 @@
+//! The pace of platform writes, so that many homes stay within the platform's budget together.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// A token bucket kept as the moment at which it would be full again.
+#[derive(Debug)]
+pub(crate) struct Pace {
+    interval: Duration,
+    burst: u32,
+    full_at: Option<Instant>,
+}
+
+impl Pace {
+    /// Creates a full bucket of `burst` writes that refills by one in each `interval`.
+    pub(crate) fn new(interval: Duration, burst: u32) -> Pace {
+        Pace {
+            interval,
+            burst: burst.max(1),
+            full_at: None,
+        }
+    }
+
+    /// Takes one write, or returns the moment at which there will be one.
+    pub(crate) fn take(&mut self, now: Instant) -> Result<(), Instant> {
+        let full_at = self.full_at.unwrap_or(now).max(now);
+        let slack = self.interval * (self.burst - 1);
+        if full_at > now + slack {
+            return Err(full_at - slack);
+        }
+        self.full_at = Some(full_at + self.interval);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/once/tests/common/mod.rs
@@ -0,0 +1,250 @@
+//! A fake platform with homes that act on it, advanced step by step in virtual time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use once::ClaimKey;
+use once::ClaimSpec;
+use once::Home;
+use once::HomeAction;
+use once::HomeEvent;
+use once::HomeOptions;
+use once::Ledger;
+use once::LedgerId;
+use once::Moment;
+use once::Operation;
+use once::ReadResult;
+use once::Request;
+use once::Verdict;
+use once::WriteResult;
+
+/// Wall clock at the start, in milliseconds.
+const EPOCH_MS: u64 = 1_000_000_000;
+
+pub fn spec(key: &str, attempt: u64) -> ClaimSpec {
+    ClaimSpec {
+        key: ClaimKey::new("advisers", key).expect("the key is valid"),
+        attempt,
+        digest: 7,
+        window_ms: 500,
+    }
+}
+
+/// Virtual time; a test sets the wall clock apart from the monotonic one.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    base: Instant,
+    pub elapsed_ms: u64,
+    pub wall_ahead_ms: u64,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        Clock {
+            base: Instant::now(),
+            elapsed_ms: 0,
+            wall_ahead_ms: 0,
+        }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment {
+            instant: self.base + Duration::from_millis(self.elapsed_ms),
+            wall_ms: EPOCH_MS + self.elapsed_ms + self.wall_ahead_ms,
+        }
+    }
+
+    pub fn until(&self, at: Instant) -> u64 {
+        let left = at.saturating_duration_since(self.now().instant);
+        left.as_nanos().div_ceil(1_000_000) as u64
+    }
+}
+
+/// What happens to a write on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// The reply comes.
+    Replied,
+    /// The write takes effect at once and its reply is lost.
+    ReplyLost,
+    /// The reply is lost, and the write takes effect only when the test says so.
+    Delayed,
+}
+
+/// A conditional update that the platform has not carried out yet.
+#[derive(Debug, Clone)]
+pub struct Update {
+    pub home: usize,
+    pub ledger: LedgerId,
+    pub base: u64,
+    pub value: Ledger,
+}
+
+/// The platform with the homes of one test.
+#[derive(Debug)]
+pub struct Fleet {
+    pub clock: Clock,
+    pub up: bool,
+    pub homes: Vec<Home>,
+    pub wakes: Vec<Option<Instant>>,
+    /// Calls that wait for [`Fleet::serve_read`] and [`Fleet::serve_write`].
+    pub reads: Vec<(usize, LedgerId)>,
+    pub writes: Vec<Update>,
+    /// Writes whose reply was lost before they took effect.
+    pub delayed: Vec<Update>,
+    /// Verdicts by ticket, in order.
+    pub replies: Vec<(u64, Verdict)>,
+    objects: BTreeMap<LedgerId, (u64, String)>,
+    version: u64,
+}
+
+impl Fleet {
+    pub fn new(homes: usize) -> Fleet {
+        let options = HomeOptions {
+            write_interval: Duration::from_millis(1),
+            ..HomeOptions::default()
+        };
+        Fleet {
+            clock: Clock::start(),
+            up: true,
+            homes: (0..homes).map(|_| Home::new(options)).collect(),
+            wakes: vec![None; homes],
+            reads: Vec::new(),
+            writes: Vec::new(),
+            delayed: Vec::new(),
+            replies: Vec::new(),
+            objects: BTreeMap::new(),
+            version: 0,
+        }
+    }
+
+    /// Hands a request to a home.
+    pub fn ask(&mut self, home: usize, ticket: u64, spec: &ClaimSpec, operation: Operation) {
+        let request = Request {
+            spec: spec.clone(),
+            operation,
+            sent_ms: self.clock.now().wall_ms,
+        };
+        self.handle(home, HomeEvent::Request(ticket, request));
+    }
+
+    pub fn handle(&mut self, home: usize, event: HomeEvent) {
+        self.wakes[home] = None;
+        for action in self.homes[home].handle(event, self.clock.now()) {
+            match action {
+                HomeAction::Read(ledger) => self.reads.push((home, ledger)),
+                HomeAction::Write(ledger, base, value) => self.writes.push(Update {
+                    home,
+                    ledger,
+                    base,
+                    value,
+                }),
+                HomeAction::Reply(ticket, verdict) => self.replies.push((ticket, verdict)),
+                HomeAction::WakeAt(at) => self.wakes[home] = Some(at),
+            }
+        }
+    }
+
+    /// Serves one read.
+    pub fn serve_read(&mut self, at: usize) {
+        let (home, ledger) = self.reads.remove(at);
+        let result = match self.up {
+            true => ReadResult::Found(self.version_of(ledger), self.value(ledger)),
+            false => ReadResult::Failed,
+        };
+        self.handle(home, HomeEvent::Read(ledger, result));
+    }
+
+    /// Serves one read with the value that the object had before its first write.
+    pub fn serve_lagging_read(&mut self, at: usize) {
+        let (home, ledger) = self.reads.remove(at);
+        let result = ReadResult::Found(0, Ledger::default());
+        self.handle(home, HomeEvent::Read(ledger, result));
+    }
+
+    /// Serves one write.
+    pub fn serve_write(&mut self, at: usize, fate: Fate) {
+        let update = self.writes.remove(at);
+        let (home, ledger) = (update.home, update.ledger);
+        let result = match (self.up, fate) {
+            (false, _) => WriteResult::Refused,
+            (true, Fate::Replied) => self.apply(&update),
+            (true, Fate::ReplyLost) => {
+                self.apply(&update);
+                WriteResult::Unknown
+            }
+            (true, Fate::Delayed) => {
+                self.delayed.push(update);
+                WriteResult::Unknown
+            }
+        };
+        self.handle(home, HomeEvent::Written(ledger, result));
+    }
+
+    /// Carries out a delayed write, whose reply nobody waits for.
+    pub fn land(&mut self) -> WriteResult {
+        let update = self.delayed.remove(0);
+        self.apply(&update)
+    }
+
+    /// Serves everything without faults until all homes rest, but for at most this many milliseconds.
+    pub fn run(&mut self, limit_ms: u64) {
+        let end_ms = self.clock.elapsed_ms + limit_ms;
+        loop {
+            if !self.reads.is_empty() {
+                self.serve_read(0);
+            } else if !self.writes.is_empty() {
+                self.serve_write(0, Fate::Replied);
+            } else if let Some(at) = self.wakes.iter().flatten().min().copied()
+                && self.clock.elapsed_ms + self.clock.until(at) <= end_ms
+            {
+                self.pass(self.clock.until(at));
+            } else {
+                return;
+            }
+        }
+    }
+
+    /// Lets time pass, and wakes the homes that asked for it.
+    pub fn pass(&mut self, ms: u64) {
+        self.clock.elapsed_ms += ms;
+        for home in 0..self.homes.len() {
+            if self.wakes[home].is_some_and(|at| at <= self.clock.now().instant) {
+                self.handle(home, HomeEvent::Wake);
+            }
+        }
+    }
+
+    pub fn reply(&self, ticket: u64) -> Option<&Verdict> {
+        let found = self.replies.iter().find(|(other, _)| *other == ticket);
+        found.map(|(_, verdict)| verdict)
+    }
+
+    pub fn granted(&self, ticket: u64) -> bool {
+        matches!(self.reply(ticket), Some(Verdict::Granted { .. }))
+    }
+
+    pub fn version_of(&self, ledger: LedgerId) -> u64 {
+        self.objects.get(&ledger).map_or(0, |object| object.0)
+    }
+
+    /// Reads the platform's value, through its JSON.
+    pub fn value(&self, ledger: LedgerId) -> Ledger {
+        match self.objects.get(&ledger) {
+            Some((_, text)) => serde_json::from_str(text).expect("a ledger can be read back"),
+            None => Ledger::default(),
+        }
+    }
+
+    fn apply(&mut self, update: &Update) -> WriteResult {
+        let current = self.version_of(update.ledger);
+        if current != update.base {
+            return WriteResult::Conflict(current);
+        }
+        self.version += 1;
+        let text = serde_json::to_string(&update.value).expect("a ledger is valid JSON");
+        self.objects.insert(update.ledger, (self.version, text));
+        WriteResult::Applied(self.version)
+    }
+}
