Add the claimant, and random orders of events over both machines

The claimant is the requester's side. It sends only while its claim is granted and its window is open by both its clocks, checked in the event that is followed by the write, so a process that resumes late doesn't send. It writes a revocation before it reports "not run" when a claim may exist, and answers 404 at the deadline when it can't. The window takes three quarters of the time left; the rest is for the revocation.

A property test runs three callers of one key against two homes and a fake platform in random orders, with lost and delayed replies, outages, crashed homes and long pauses. The tests are one binary now, so that they share the fake platform.

The random orders fail when settled or open claims expire too early, when a doubtful write counts as not written, and when the revocation is left out.

--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -4,8 +4,9 @@
 //! retry through any VM finds the claim and gets the first outcome instead of a second run. The protocol is described
 //! in `docs/design.md`, section 5, "At most once".
 //!
-//! [`Ledger`] is the value of one platform object with its transition functions. [`Home`] batches requests for its
-//! ledgers into conditional updates. The machine performs no I/O and reads no clock.
+//! Three parts share the work. [`Ledger`] is the value of one platform object with its transition functions. [`Home`]
+//! batches requests for its ledgers into conditional updates. [`Claimant`] is the requester's side, and decides when
+//! the request may be sent and what the caller may be told. The machines perform no I/O and read no clock.
 //!
 //! # Time
 //!
@@ -31,6 +32,7 @@
 //! ```
 
 mod claim;
+mod claimant;
 mod home;
 mod ledger;
 mod pace;
@@ -50,6 +52,11 @@
 pub use crate::claim::Settlement;
 pub use crate::claim::Verdict;
 pub use crate::claim::digest_request;
+pub use crate::claimant::Claimant;
+pub use crate::claimant::ClaimantAction;
+pub use crate::claimant::ClaimantEvent;
+pub use crate::claimant::MAX_WINDOW;
+pub use crate::claimant::Terms;
 pub use crate::home::Home;
 pub use crate::home::HomeAction;
 pub use crate::home::HomeEvent;
--- a/crates/once/tests/home.rs
+++ b/crates/once/tests/protocol/home.rs
@@ -1,7 +1,5 @@
 //! Homes against a fake platform.
 
-mod common;
-
 use rstest::rstest;
 
 use base::Code;
@@ -9,9 +7,9 @@
 use once::Settlement;
 use once::Verdict;
 
-use crate::common::Fate;
-use crate::common::Fleet;
-use crate::common::spec;
+use crate::fleet::Fate;
+use crate::fleet::Fleet;
+use crate::fleet::spec;
 
 const CLAIM: Operation = Operation::Claim;
 
