--- a/crates/once/tests/protocol/random.rs
+++ b/crates/once/tests/protocol/random.rs
@@ -150,14 +150,14 @@
     fn deliver_verdict(&mut self, pick: usize) {
         let at = pick / 8 % self.fleet.replies.len();
         let (caller, verdict) = self.fleet.replies.remove(at);
-        if pick % 8 != 0 {
+        if !pick.is_multiple_of(8) {
             self.handle(caller as usize, ClaimantEvent::Verdict(verdict));
         }
     }
 
     fn run_upstream(&mut self, pick: usize) {
         let caller = self.sends.remove(pick / 4 % self.sends.len());
-        if pick % 4 == 0 {
+        if pick.is_multiple_of(4) {
             self.handle(caller, ClaimantEvent::NotRun(Code::ShedEverywhere));
             return;
         }
