--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -72,6 +72,7 @@
 #[derive(Debug)]
 struct Queue<T> {
     waiting: VecDeque<Request<T>>,
+    cost: u64,
     deficit: u64,
 }
 
@@ -121,6 +122,7 @@
             .entry(request.service.clone())
             .or_insert_with(|| Queue {
                 waiting: VecDeque::new(),
+                cost: 0,
                 deficit: 0,
             });
         if queue.waiting.len() >= self.queue_limit {
@@ -130,6 +132,7 @@
             self.round.push_back(request.service.clone());
         }
         self.waiting += u64::from(request.cost);
+        queue.cost += u64::from(request.cost);
         queue.waiting.push_back(request);
         Ok(())
     }
@@ -167,6 +170,7 @@
         for queue in self.queues.values_mut() {
             for request in std::mem::take(&mut queue.waiting) {
                 if request.deadline <= now {
+                    queue.cost -= u64::from(request.cost);
                     dropped_cost += u64::from(request.cost);
                     expired.push(request.item);
                 } else {
@@ -215,7 +219,7 @@
         let mut competing = 0;
         for (service, queue) in &self.queues {
             if *service == request.service {
-                own += queue.waiting.iter().map(|r| u64::from(r.cost)).sum::<u64>();
+                own += queue.cost;
             } else if let Some(head) = queue.waiting.front() {
                 competing += quantum(head.priority);
             }
@@ -228,7 +232,9 @@
     }
 
     fn take_head(&mut self, service: &ServiceName) -> Option<Request<T>> {
-        let request = self.queues.get_mut(service)?.waiting.pop_front()?;
+        let queue = self.queues.get_mut(service)?;
+        let request = queue.waiting.pop_front()?;
+        queue.cost -= u64::from(request.cost);
         self.waiting -= u64::from(request.cost);
         self.leave_round();
         Some(request)
--- /dev/null
+++ b/crates/limit/tests/admission.rs
@@ -0,0 +1,140 @@
+//! Admission queues: fairness, bounds and deadlines.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use limit::Admission;
+use limit::Priority;
+use limit::Refusal;
+use limit::Request;
+use limit::Turn;
+use rstest::rstest;
+
+fn request(
+    service: &'static str,
+    priority: Priority,
+    cost: u32,
+    deadline: Instant,
+) -> Request<&'static str> {
+    Request {
+        service: service.into(),
+        priority,
+        cost,
+        deadline,
+        item: service,
+    }
+}
+
+/// Guards against a service that floods the node, or asks for many shards, taking the turns of another.
+#[rstest]
+#[case::equal_cost(Priority::Interactive, 30, 30, 0.5)]
+#[case::unequal_cost(Priority::Interactive, 120, 30, 0.5)]
+#[case::batch(Priority::Batch, 30, 30, 1.0 / 9.0)]
+fn capacity_is_shared(
+    #[case] priority: Priority,
+    #[case] flood_cost: u32,
+    #[case] cost: u32,
+    #[case] expected: f64,
+) {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(3600);
+    let mut admission = Admission::new(120, 4_000);
+    for _ in 0..4_000 {
+        let flood = request("flood", priority, flood_cost, deadline);
+        admission.offer(flood, now).unwrap();
+    }
+    for _ in 0..1_000 {
+        let other = request("other", Priority::Interactive, cost, deadline);
+        admission.offer(other, now).unwrap();
+    }
+    let mut served: BTreeMap<&str, f64> = BTreeMap::new();
+    while served.values().sum::<f64>() < 20_000.0 {
+        let Some(Turn::Run(service, cost)) = admission.next_turn(now) else {
+            panic!("no query although {} wait", admission.queued());
+        };
+        *served.entry(service).or_default() += f64::from(cost);
+        admission.finish(cost, Duration::ZERO);
+    }
+    let share = served["flood"] / served.values().sum::<f64>();
+    assert!((share - expected).abs() < 0.03, "flood has {share}");
+}
+
+/// Guards against queues without a bound, and against work that cannot meet its deadline.
+#[rstest]
+#[case::fits(100, 4, None)]
+#[case::queue_full(100_000, 10, Some(Refusal::QueueFull))]
+#[case::wait_too_long(100, 9, Some(Refusal::TooLate))]
+#[case::shorter_than_a_run(9, 0, Some(Refusal::TooLate))]
+#[case::expired(0, 0, Some(Refusal::TooLate))]
+fn refuses_early(#[case] left_ms: u64, #[case] queued: u32, #[case] expected: Option<Refusal>) {
+    let now = Instant::now();
+    let mut admission = Admission::new(30, 10);
+    admission.finish(0, Duration::from_millis(12));
+    for _ in 0..queued {
+        let far = now + Duration::from_secs(60);
+        let other = request("a", Priority::Interactive, 30, far);
+        admission.offer(other, now).unwrap();
+    }
+    let deadline = now + Duration::from_millis(left_ms);
+    let offer = request("a", Priority::Interactive, 30, deadline);
+    let refusal = admission
+        .offer(offer, now)
+        .err()
+        .map(|(refusal, _)| refusal);
+    assert_eq!(refusal, expected);
+}
+
+/// Guards against a service being refused because another one has a long queue.
+#[rstest]
+fn long_queue_of_another_service_does_not_refuse() {
+    let now = Instant::now();
+    let mut admission = Admission::new(30, 1_000);
+    admission.finish(0, Duration::from_millis(10));
+    for _ in 0..1_000 {
+        let flood = request("a", Priority::Batch, 30, now + Duration::from_secs(60));
+        admission.offer(flood, now).unwrap();
+    }
+    let deadline = now + Duration::from_millis(40);
+    let offer = request("b", Priority::Interactive, 30, deadline);
+    assert!(admission.offer(offer, now).is_ok());
+}
+
+/// Guards against running expired work and against capacity that such work would keep.
+#[rstest]
+#[case::at_its_turn(false)]
+#[case::before_its_turn(true)]
+fn expired_work_is_dropped(#[case] early: bool) {
+    let now = Instant::now();
+    let mut admission = Admission::new(30, 10);
+    let short = request("a", Priority::Batch, 30, now + Duration::from_millis(10));
+    admission.offer(short, now).unwrap();
+    let long = request("b", Priority::Batch, 30, now + Duration::from_secs(1));
+    admission.offer(long, now).unwrap();
+    let later = now + Duration::from_millis(10);
+    if early {
+        assert_eq!(admission.drop_expired(later), ["a"]);
+    } else {
+        assert_eq!(admission.next_turn(later), Some(Turn::Expired("a")));
+    }
+    assert_eq!(admission.next_turn(later), Some(Turn::Run("b", 30)));
+    assert_eq!(admission.next_turn(later), None);
+    assert_eq!((admission.queued(), admission.running()), (0, 30));
+}
+
+/// Guards against more sub-requests in flight than the capacity, and against a query larger than it never running.
+#[rstest]
+fn capacity_holds_back() {
+    let now = Instant::now();
+    let far = now + Duration::from_secs(1);
+    let mut admission = Admission::new(40, 10);
+    for (service, cost) in [("a", 100), ("b", 30), ("c", 30)] {
+        let offer = request(service, Priority::Interactive, cost, far);
+        admission.offer(offer, now).unwrap();
+    }
+    assert_eq!(admission.next_turn(now), Some(Turn::Run("a", 100)));
+    assert_eq!(admission.next_turn(now), None);
+    admission.finish(100, Duration::from_millis(5));
+    assert_eq!(admission.next_turn(now), Some(Turn::Run("b", 30)));
+    assert_eq!(admission.next_turn(now), None);
+}
