Send removed services in a delta instead of log records

Cause: the messages between entry VMs carry the changed entries, the removed services and the publish id of a revision, but no log, so a delta made of log records could not be sent.

Change: Delta holds the same parts as the message. A node that applies one adds a single record for it to its log, which is enough to pass the change on; only the platform's catalogue lists every publish.

Measured: for random publishes every delta, also one passed on by a relay that was itself updated by a delta, leads to the same entries. A delta whose removed services are ignored fails the test.

--- a/crates/decl/src/catalogue.rs
+++ b/crates/decl/src/catalogue.rs
@@ -1,6 +1,7 @@
 //! The merged catalogue of all declarations, which is what a configuration revision consists of.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use base::Revision;
 use base::ServiceName;
@@ -82,10 +83,12 @@
     pub since: Revision,
     /// Revision that the delta leads to.
     pub revision: Revision,
+    /// Publish id of that revision.
+    pub publish: CompactString,
     /// Entries that changed after `since`.
     pub entries: BTreeMap<ServiceName, Entry>,
-    /// Publishes after `since`, which list the removed services.
-    pub log: Vec<Record>,
+    /// Services that were removed after `since`.
+    pub removed: Vec<ServiceName>,
 }
 
 impl Catalogue {
@@ -176,38 +179,44 @@
         }
         let entries = self.entries.iter();
         let log = self.log.iter();
+        let removed: BTreeSet<&ServiceName> = log
+            .filter(|record| record.revision > since)
+            .flat_map(|record| &record.removed)
+            .filter(|service| !self.entries.contains_key(*service))
+            .collect();
         Some(Delta {
             since,
             revision: self.revision,
+            publish: self.publish.clone(),
             entries: entries
                 .filter(|(_, entry)| entry.changed > since)
                 .map(|(service, entry)| (service.clone(), entry.clone()))
                 .collect(),
-            log: log
-                .filter(|record| record.revision > since)
-                .cloned()
-                .collect(),
+            removed: removed.into_iter().cloned().collect(),
         })
     }
 
     /// Returns the catalogue that a delta leads to, or `None` when the delta does not start at or before this revision or
     /// does not lead beyond it.
+    ///
+    /// The log gets one record for the whole delta. That is enough to pass deltas on, but only the platform's catalogue
+    /// lists every publish.
     pub fn with_delta(&self, delta: Delta) -> Option<Catalogue> {
         if delta.since > self.revision || delta.revision <= self.revision {
             return None;
         }
         let mut next = self.clone();
-        for record in delta.log {
-            if record.revision > self.revision {
-                for service in &record.removed {
-                    next.entries.remove(service);
-                }
-                next.log.push(record);
-            }
-        }
-        next.entries.extend(delta.entries);
         next.revision = delta.revision;
-        next.publish = next.log.last()?.publish.clone();
+        next.publish = delta.publish.clone();
+        next.entries
+            .retain(|service, _| !delta.removed.contains(service));
+        next.log.push(Record {
+            revision: delta.revision,
+            publish: delta.publish,
+            files: delta.entries.values().map(|e| e.file.clone()).collect(),
+            removed: delta.removed,
+        });
+        next.entries.extend(delta.entries);
         next.trim_log();
         Some(next)
     }
