limpetwick: check and publish directories of declarations

Cause: service teams need one command that reports every error of their files, and one that publishes them and says where they are in force.

--- /dev/null
+++ b/crates/limpetwick/src/check.rs
@@ -0,0 +1,99 @@
+//! Checks declaration files without a platform.
+
+use std::io;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use base::Code;
+use decl::Catalogue;
+use decl::Fault;
+use decl::merge;
+use decl::parse_file;
+
+/// Exit code when every file is valid.
+pub const EXIT_VALID: u8 = 0;
+
+/// Exit code when a file is invalid or cannot be read; nothing was sent anywhere.
+pub const EXIT_INVALID: u8 = 2;
+
+/// Prints every error of all files and returns the exit code.
+pub fn check_files(files: &[PathBuf], out: &mut impl Write) -> io::Result<u8> {
+    let named: Vec<(String, &Path)> = files
+        .iter()
+        .map(|path| (path.display().to_string(), path.as_path()))
+        .collect();
+    match load_files(&named) {
+        Ok(catalogue) => {
+            let count = catalogue.entries.len();
+            writeln!(out, "check: {count} declarations are valid")?;
+            Ok(EXIT_VALID)
+        }
+        Err(faults) => report_faults(&faults, out),
+    }
+}
+
+/// Prints faults, one a line, and returns the exit code.
+pub fn report_faults(faults: &[Fault], out: &mut impl Write) -> io::Result<u8> {
+    for fault in faults {
+        writeln!(out, "{fault}")?;
+    }
+    writeln!(out, "check: {} errors", faults.len())?;
+    Ok(EXIT_INVALID)
+}
+
+/// Reads the TOML files of a directory; the catalogue names each by its file name.
+pub fn load_directory(dir: &Path) -> Result<Catalogue, Vec<Fault>> {
+    let unreadable =
+        |error: io::Error| vec![describe_unreadable(&dir.display().to_string(), &error)];
+    let mut named = Vec::new();
+    for entry in std::fs::read_dir(dir).map_err(unreadable)? {
+        let path = entry.map_err(unreadable)?.path();
+        if path
+            .extension()
+            .is_some_and(|extension| extension == "toml")
+        {
+            let name = path.file_name().unwrap_or_default().to_string_lossy();
+            named.push((name.into_owned(), path));
+        }
+    }
+    named.sort_unstable();
+    let named: Vec<(String, &Path)> = named
+        .iter()
+        .map(|(name, path)| (name.clone(), path.as_path()))
+        .collect();
+    load_files(&named)
+}
+
+/// Reads and merges files; conflicts between files are found among those that are valid by themselves.
+fn load_files(named: &[(String, &Path)]) -> Result<Catalogue, Vec<Fault>> {
+    let mut faults = Vec::new();
+    let mut parsed = Vec::new();
+    for (name, path) in named {
+        match std::fs::read_to_string(path) {
+            Ok(text) => match parse_file(name, &text) {
+                Ok(file) => parsed.push(file),
+                Err(found) => faults.extend(found),
+            },
+            Err(error) => faults.push(describe_unreadable(name, &error)),
+        }
+    }
+    match merge(parsed) {
+        Ok(catalogue) if faults.is_empty() => Ok(catalogue),
+        Ok(_) => Err(faults),
+        Err(conflicts) => {
+            faults.extend(conflicts);
+            Err(faults)
+        }
+    }
+}
+
+fn describe_unreadable(name: &str, error: &io::Error) -> Fault {
+    Fault {
+        file: name.into(),
+        line: 1,
+        key: "file".into(),
+        reason: format!("the file cannot be read: {error}"),
+        code: Code::InvalidDeclaration,
+    }
+}
--- /dev/null
+++ b/crates/limpetwick/tests/publish.rs
@@ -0,0 +1,159 @@
+//! Checking and publishing of directories, against the stand-in of the platform over loopback.
+
+#[path = "../src/check.rs"]
+mod check;
+#[path = "../src/publish.rs"]
+mod publish;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rstest::rstest;
+
+use lab::platform::Fault;
+use lab::platform::FaultMode;
+use lab::platform::serve_platform;
+
+use crate::check::check_files;
+use crate::publish::PublishArgs;
+use crate::publish::run_publish;
+
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Writes declaration files into a directory of this test's own.
+fn write_files(test: &str, files: &[(&str, &str)]) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).unwrap();
+    for (name, text) in files {
+        std::fs::write(dir.join(name), text).unwrap();
+    }
+    dir
+}
+
+fn declare(service: &str, deadline: &str) -> String {
+    format!("service = \"{service}\"\nindex = \"i\"\nshards = \"all\"\ndeadline = \"{deadline}\"\n")
+}
+
+/// Guards against a check that stops at the first file with errors.
+#[test]
+fn test_check_prints_errors_of_all_files() {
+    let (bad, worse) = (declare("a", "0s"), declare("", "99s"));
+    let dir = write_files("check", &[("a.toml", &bad), ("b.toml", &worse)]);
+    let files = ["a.toml", "b.toml", "c.toml"].map(|name| dir.join(name));
+    let mut out = Vec::new();
+    assert_eq!(check_files(&files, &mut out).unwrap(), check::EXIT_INVALID);
+    let text = String::from_utf8(out).unwrap();
+    let places: Vec<&str> = text
+        .lines()
+        .map(|l| &l[l.rfind("/").map_or(0, |at| at + 1)..])
+        .collect();
+    let starts = [
+        "a.toml:4: deadline",
+        "b.toml:1: service",
+        "b.toml:4: deadline",
+        "c.toml:1: file",
+        "check: 4",
+    ];
+    for (place, start) in std::iter::zip(&places, starts) {
+        assert!(place.starts_with(start), "{text}");
+    }
+    assert_eq!(places.len(), starts.len(), "{text}");
+}
+
+/// Serves a fixed status body.
+async fn serve_status(body: &'static str) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind(LOOPBACK).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let reply = service_fn(move |_| async move {
+                Ok::<_, std::convert::Infallible>(Response::new(Full::new(Bytes::from(body))))
+            });
+            let connection = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(connection.serve_connection(TokioIo::new(stream), reply));
+        }
+    });
+    addr
+}
+
+const EVERYWHERE: &str = r#"{"zones":[{"zone":"a","vms":2,"revisions":[{"revision":1,"vms":2}]}]}"#;
+const HALF: &str = r#"{"zones":[{"zone":"a","vms":2,"revisions":[{"revision":1,"vms":1}]}]}"#;
+
+/// Guards against exit codes that scripts cannot tell apart, also when the reply of the update is lost.
+#[rstest]
+#[case::in_force(
+    "in-force",
+    FaultMode::None,
+    Some(EVERYWHERE),
+    None,
+    publish::EXIT_IN_FORCE
+)]
+#[case::reply_lost(
+    "lost",
+    FaultMode::LoseReplies,
+    Some(EVERYWHERE),
+    None,
+    publish::EXIT_IN_FORCE
+)]
+#[case::not_everywhere(
+    "half",
+    FaultMode::None,
+    Some(HALF),
+    None,
+    publish::EXIT_NOT_EVERYWHERE
+)]
+#[case::not_checked("no-entry", FaultMode::None, None, None, publish::EXIT_NOT_EVERYWHERE)]
+#[case::stale_base("stale", FaultMode::None, None, Some(9), publish::EXIT_REFUSED)]
+#[tokio::test]
+async fn test_publish_exit_codes(
+    #[case] name: &str,
+    #[case] mode: FaultMode,
+    #[case] status: Option<&'static str>,
+    #[case] base: Option<u64>,
+    #[case] expected: u8,
+) {
+    let dir = write_files(name, &[("a.toml", &declare("a", "1s"))]);
+    let platform = serve_platform(LOOPBACK, Duration::ZERO).await.unwrap();
+    platform.set_fault(Fault {
+        mode,
+        times: Some(1),
+        delay_ms: 0,
+    });
+    let mut args = PublishArgs {
+        dir,
+        remove: Vec::new(),
+        platform: platform.addr(),
+        entry: match status {
+            Some(body) => Some(serve_status(body).await),
+            None => None,
+        },
+        base,
+        dry_run: true,
+        // Long enough that a slow machine cannot turn success into a miss; the other cases need no wait.
+        wait: if expected == publish::EXIT_IN_FORCE {
+            Duration::from_secs(30)
+        } else {
+            Duration::ZERO
+        },
+        seed: 7,
+    };
+    let mut out = Vec::new();
+    if base.is_none() {
+        let code = run_publish(args.clone(), &mut out).await.unwrap();
+        assert_eq!(code, publish::EXIT_IN_FORCE);
+        let text = String::from_utf8_lossy(&out);
+        assert!(text.contains("add a.toml: service a"), "{text}");
+    }
+    args.dry_run = false;
+    let code = run_publish(args, &mut out).await.unwrap();
+    assert_eq!(code, expected, "{}", String::from_utf8_lossy(&out));
+    platform.close().await.unwrap();
+}
