--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod deploy;
+pub mod examples;
 pub mod fault;
 mod http_upstream;
 pub mod report;
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -1,6 +1,6 @@
 //! A model of one upstream server, without I/O: it is driven by events that carry the time.
 //!
-//! The runtime in [`crate::upstreams`] and the benchmark in [`crate::bench`] drive the same model, so that a fault
+//! The runtime in [`crate::upstreams`] and the benchmark drive the same model, so that a fault
 //! behaves the same over sockets and in virtual time.
 
 use std::collections::BTreeMap;
@@ -209,6 +209,11 @@
         !self.faults.stopped
     }
 
+    /// Draws the time that a request would take in a free slot, or `None` when the server is stopped.
+    pub fn draw_time(&self, now: Instant, rng: &mut dyn Rng) -> Option<Duration> {
+        self.accepts().then(|| self.service_time(now, rng))
+    }
+
     /// Returns the settings.
     pub fn settings(&self) -> &Settings {
         &self.settings
--- a/crates/lab/tests/deploy.rs
+++ b/crates/lab/tests/deploy.rs
@@ -7,22 +7,26 @@
 use decl::Prefer;
 use lab::deploy::Deployment;
 use lab::deploy::build_example;
+use lab::examples::list_declarations;
+use lab::examples::parse_declarations;
 use rstest::rstest;
 
+/// Reads the declarations, and checks that the compiled-in list is the whole folder.
 fn read_declarations(name: &str) -> Vec<Declaration> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
         .join("../../examples")
         .join(name);
-    let mut files: Vec<_> = std::fs::read_dir(folder)
+    let mut files: Vec<String> = std::fs::read_dir(folder)
         .unwrap()
-        .map(|entry| entry.unwrap().path())
+        .map(|entry| entry.unwrap().file_name().into_string().unwrap())
         .collect();
     files.sort();
-    let parse = |path: &std::path::PathBuf| {
-        let file = path.file_name().unwrap().to_str().unwrap();
-        decl::parse_declaration(file, &std::fs::read_to_string(path).unwrap()).unwrap()
-    };
-    files.iter().map(parse).collect()
+    let listed: Vec<&str> = list_declarations(name)
+        .iter()
+        .map(|(file, _)| *file)
+        .collect();
+    assert_eq!(listed, files);
+    parse_declarations(name).unwrap()
 }
 
 fn build(name: &str) -> Deployment {
