--- /dev/null
+++ b/crates/lab/src/bench.rs
@@ -0,0 +1,215 @@
+//! The benchmark: three policies under every condition in virtual time, checked against what the servers really did.
+//!
+//! It drives the real query state machine, limits and admission against the modelled servers. Time is virtual, so that
+//! the same seed gives the same figures on every machine; only the CPU figures are measured.
+
+pub mod audit;
+mod condition;
+mod cpu;
+mod exchange;
+mod html;
+mod ideal;
+mod network;
+mod node;
+mod table;
+mod tally;
+mod targets;
+mod workload;
+mod world;
+
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use indicatif::ProgressBar;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+pub use crate::bench::audit::Violations;
+pub use crate::bench::condition::Condition;
+pub use crate::bench::condition::Policy;
+pub use crate::bench::cpu::Cost;
+pub use crate::bench::tally::Actions;
+pub use crate::bench::tally::Case;
+pub use crate::bench::tally::Latency;
+pub use crate::bench::tally::ServiceFigures;
+pub use crate::bench::targets::Target;
+pub use crate::bench::workload::InputError;
+use crate::bench::workload::Workload;
+use crate::bench::world::run_case;
+
+/// Deployments and indexes that are measured: one of each user, both with a fan-out of 30.
+const WORKLOADS: [(&str, &str); 2] = [("brunner-vaucher", "plan-desk"), ("skiasis", "offcut-desk")];
+
+/// Measured virtual time of a case; gives p99.9 about ten samples at the rates of the examples.
+const MEASURED: Duration = Duration::from_secs(40);
+
+/// Measured virtual time of a case in a quick run.
+const MEASURED_QUICK: Duration = Duration::from_secs(4);
+
+/// Most cases that run at the same time.
+const MAX_THREADS: usize = 4;
+
+/// Options of a run.
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// Whether to measure a short time only, which makes p99.9 coarse.
+    pub quick: bool,
+    /// File for the report as JSON.
+    pub json: Option<PathBuf>,
+    /// File for the report as an HTML page with plots.
+    pub html: Option<PathBuf>,
+}
+
+/// The figures of a run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Every condition under every policy.
+    pub cases: Vec<Case>,
+    /// Targets, met or missed.
+    pub targets: Vec<Target>,
+    /// CPU time of the state machine; the only figures that depend on the machine.
+    pub costs: Vec<Cost>,
+}
+
+impl Report {
+    /// Lists the targets that were missed.
+    pub fn missed(&self) -> impl Iterator<Item = &Target> {
+        self.targets.iter().filter(|target| !target.is_met())
+    }
+}
+
+/// Why a run has no report.
+#[derive(Debug, Snafu)]
+pub enum BenchError {
+    /// The inputs are not valid.
+    #[snafu(display("bench: {source}"))]
+    Input {
+        /// Cause.
+        source: InputError,
+    },
+    /// A file cannot be written.
+    #[snafu(display("bench: cannot write {}: {source}", path.display()))]
+    Write {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The report cannot be written as JSON.
+    #[snafu(display("bench: cannot write the report as JSON: {source}"))]
+    Json {
+        /// Cause.
+        source: serde_json::Error,
+    },
+    /// A plot cannot be drawn.
+    #[snafu(display("bench: cannot draw a plot: {reason}"))]
+    Plot {
+        /// Cause in words.
+        reason: String,
+    },
+}
+
+/// Runs every case and writes the files that the options name.
+///
+/// # Errors
+///
+/// Returns an error when the examples are not valid or a file cannot be written; a missed target is no error.
+pub fn run(options: &Options) -> Result<Report, BenchError> {
+    let cases = run_cases(options)?;
+    let report = Report {
+        seed: options.seed,
+        targets: targets::compare_targets(&cases),
+        cases,
+        costs: cpu::measure_costs(options.quick),
+    };
+    if let Some(path) = &options.json {
+        let text = serde_json::to_string_pretty(&report).context(JsonSnafu)?;
+        std::fs::write(path, text).context(WriteSnafu { path })?;
+    }
+    if let Some(path) = &options.html {
+        let text = html::render(&report)?;
+        std::fs::write(path, text).context(WriteSnafu { path })?;
+    }
+    Ok(report)
+}
+
+/// Runs one condition under one policy on one of the measured workloads.
+///
+/// # Errors
+///
+/// Returns an error when the example is not valid.
+pub fn run_one(
+    (name, index): (&str, &str),
+    condition: Condition,
+    policy: Policy,
+    options: &Options,
+) -> Result<Case, BenchError> {
+    let workload = Workload::build(name, index, options.seed).context(InputSnafu)?;
+    let measured = measured(options);
+    Ok(run_case(
+        &workload,
+        condition,
+        policy,
+        options.seed,
+        measured,
+    ))
+}
+
+fn measured(options: &Options) -> Duration {
+    if options.quick {
+        MEASURED_QUICK
+    } else {
+        MEASURED
+    }
+}
+
+/// Runs the cases on a few threads; each has generators of its own, so that their order does not matter.
+fn run_cases(options: &Options) -> Result<Vec<Case>, BenchError> {
+    let workloads = WORKLOADS
+        .iter()
+        .map(|(name, index)| Workload::build(name, index, options.seed))
+        .collect::<Result<Vec<Workload>, InputError>>()
+        .context(InputSnafu)?;
+    let mut jobs = Vec::new();
+    for workload in &workloads {
+        for condition in Condition::ALL {
+            jobs.extend(Policy::ALL.map(|policy| (workload, condition, policy)));
+        }
+    }
+    let bar = ProgressBar::new(jobs.len() as u64);
+    let next = AtomicUsize::new(0);
+    let done = Mutex::new(Vec::new());
+    let work = || {
+        while let Some(&(workload, condition, policy)) =
+            jobs.get(next.fetch_add(1, Ordering::Relaxed))
+        {
+            let case = run_case(workload, condition, policy, options.seed, measured(options));
+            done.lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(case);
+            bar.inc(1);
+        }
+    };
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.div_ceil(2).min(MAX_THREADS) {
+            scope.spawn(work);
+        }
+    });
+    bar.finish_and_clear();
+    let mut cases = done.into_inner().unwrap_or_else(PoisonError::into_inner);
+    cases.sort_by(|a: &Case, b: &Case| {
+        (&a.workload, a.condition, a.policy).cmp(&(&b.workload, b.condition, b.policy))
+    });
+    Ok(cases)
+}
--- /dev/null
+++ b/crates/lab/src/bench/targets.rs
@@ -0,0 +1,106 @@
+//! The targets of `docs/design.md`, section 7, compared with the measured cases.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::bench::condition::Condition;
+use crate::bench::condition::Policy;
+use crate::bench::tally::Case;
+
+/// Highest p99 with 1% stragglers, relative to policy (a).
+const P99_RATIO: f64 = 0.25;
+
+/// Highest extra load with 1% stragglers.
+const EXTRA: f64 = 0.03;
+
+/// Lowest goodput in overload, as a fraction of the capacity.
+const GOODPUT: f64 = 0.9;
+
+/// A target with its measured value.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// What is compared, and where.
+    pub name: String,
+    /// Measured value.
+    pub value: f64,
+    /// Bound.
+    pub bound: f64,
+    /// Whether the value must not be below the bound; otherwise it must not be above.
+    pub at_least: bool,
+}
+
+impl Target {
+    /// Tells whether the target is met.
+    pub fn is_met(&self) -> bool {
+        if self.at_least {
+            self.value >= self.bound
+        } else {
+            self.value <= self.bound
+        }
+    }
+}
+
+/// Compares the cases of the full policy with every target.
+pub(crate) fn compare_targets(cases: &[Case]) -> Vec<Target> {
+    let mut targets = Vec::new();
+    for case in cases.iter().filter(|case| case.policy == Policy::Full) {
+        let baselines: Vec<&Case> = cases
+            .iter()
+            .filter(|other| {
+                other.policy != Policy::Full
+                    && other.workload == case.workload
+                    && other.condition == case.condition
+            })
+            .collect();
+        let plain = baselines.iter().find(|other| other.policy == Policy::Plain);
+        match case.condition {
+            Condition::RandomSlow1 | Condition::SlowServers1 => {
+                if let Some(plain) = plain {
+                    let ratio = case.latency.p99 / plain.latency.p99;
+                    targets.push(at_most(case, "p99 relative to (a)", ratio, P99_RATIO));
+                }
+                targets.push(at_most(case, "extra load", case.extra, EXTRA));
+            }
+            Condition::Overload => targets.push(at_least(case, "goodput", case.goodput, GOODPUT)),
+            _ => {}
+        }
+        let best = baselines.iter().map(|other| other.coverage);
+        if let Some(best) = best.reduce(f64::max) {
+            targets.push(at_least(case, "coverage", case.coverage, best));
+        }
+        targets.extend(check_violations(case));
+    }
+    targets
+}
+
+fn check_violations(case: &Case) -> Vec<Target> {
+    let found = &case.violations;
+    let counts = [
+        ("mixed snapshots", found.mixed),
+        ("misreported coverage", found.misreported),
+        ("answers to the wrong caller", found.foreign),
+        ("connections over the limit", found.connections),
+        ("answers after the deadline", found.late),
+        ("keys run more than once", found.reruns),
+        ("refusals of queries that ran", found.refused),
+    ];
+    let target = |(name, count)| at_most(case, name, count as f64, 0.0);
+    counts.into_iter().map(target).collect()
+}
+
+fn at_most(case: &Case, name: &str, value: f64, bound: f64) -> Target {
+    target(case, name, value, bound, false)
+}
+
+fn at_least(case: &Case, name: &str, value: f64, bound: f64) -> Target {
+    target(case, name, value, bound, true)
+}
+
+fn target(case: &Case, name: &str, value: f64, bound: f64, at_least: bool) -> Target {
+    Target {
+        name: format!("{}, {}: {name}", case.workload, case.condition.name()),
+        value,
+        bound,
+        at_least,
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for upstreams and the platform, load generation and experiments.
 
+pub mod bench;
 pub mod control;
 pub mod deploy;
 pub mod examples;
