--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,8 +1,10 @@
 //! Stand-ins for upstreams and the platform, load generation and experiments.
 
+pub mod bench;
 pub mod control;
 pub mod demo;
 pub mod deploy;
+pub mod examples;
 pub mod fault;
 mod http_upstream;
 pub mod platform;
