--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -141,7 +141,7 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub explanation: Option<Box<query::Explanation>>,
     #[serde(skip)]
-    status: u16,
+    pub(crate) status: u16,
 }
 
 impl FailureBody {
--- /dev/null
+++ b/crates/entry/src/home.rs
@@ -0,0 +1,282 @@
+//! Drives the home of ledger objects: its calls of the platform, and the requests of this node and of peers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use base::Code;
+use once::ClaimKey;
+use once::ClaimSpec;
+use once::Home;
+use once::HomeAction;
+use once::HomeEvent;
+use once::HomeOptions;
+use once::Ledger;
+use once::LedgerId;
+use once::Moment;
+use once::Operation;
+use once::ReadResult;
+use once::Request;
+use once::Settlement;
+use once::Verdict;
+use once::WriteResult;
+use store::Put;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use wire::ClaimReply;
+use wire::ClaimRequest;
+use wire::ClaimStatus;
+use wire::claim_request::Operation as WireOperation;
+
+use crate::node::Node;
+use crate::node::lock;
+
+/// Kind of the ledger objects in the platform.
+const KIND: &str = "ledger";
+
+/// The home machine of this node with the requests that wait for it.
+#[derive(Debug)]
+pub struct Homes {
+    inner: Mutex<Inner>,
+    timer: Notify,
+}
+
+#[derive(Debug)]
+struct Inner {
+    home: Home,
+    tickets: HashMap<u64, oneshot::Sender<Verdict>>,
+    next: u64,
+    wake: Option<Instant>,
+}
+
+impl Default for Homes {
+    fn default() -> Homes {
+        let home = Home::new(HomeOptions::default());
+        Homes {
+            inner: Mutex::new(Inner {
+                home,
+                tickets: HashMap::new(),
+                next: 0,
+                wake: None,
+            }),
+            timer: Notify::new(),
+        }
+    }
+}
+
+/// Reads both clocks.
+pub fn read_clocks() -> Moment {
+    let wall = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Moment {
+        instant: Instant::now(),
+        wall_ms: wall.as_millis() as u64,
+    }
+}
+
+/// Asks this node's home, whoever may be in charge by the view: a wrong home only loses time.
+pub async fn ask_home(node: &Arc<Node>, request: Request) -> Verdict {
+    let (reply, verdict) = oneshot::channel();
+    let ticket = {
+        let mut inner = lock(&node.homes.inner);
+        inner.next += 1;
+        let ticket = inner.next;
+        inner.tickets.insert(ticket, reply);
+        ticket
+    };
+    feed(node, HomeEvent::Request(ticket, request));
+    verdict.await.unwrap_or(Verdict::Unsure)
+}
+
+/// Wakes the home at the moments that it asks for, until the node stops.
+pub async fn keep_time(node: Arc<Node>) {
+    loop {
+        let wake = lock(&node.homes.inner).wake;
+        let sleep = async {
+            match wake {
+                Some(at) => tokio::time::sleep_until(at.into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = sleep => {
+                lock(&node.homes.inner).wake = None;
+                feed(&node, HomeEvent::Wake);
+            }
+            () = node.homes.timer.notified() => {}
+        }
+    }
+}
+
+fn feed(node: &Arc<Node>, event: HomeEvent) {
+    let mut inner = lock(&node.homes.inner);
+    let actions = inner.home.handle(event, read_clocks());
+    for action in actions {
+        match action {
+            HomeAction::Read(ledger) => drop(tokio::spawn(read_ledger(node.clone(), ledger))),
+            HomeAction::Write(ledger, version, value) => {
+                drop(tokio::spawn(write_ledger(
+                    node.clone(),
+                    ledger,
+                    version,
+                    value,
+                )));
+            }
+            HomeAction::Reply(ticket, verdict) => {
+                // A requester that gave up has dropped its end.
+                let _ = inner
+                    .tickets
+                    .remove(&ticket)
+                    .map(|reply| reply.send(verdict));
+            }
+            HomeAction::WakeAt(at) => {
+                inner.wake = Some(at);
+                node.homes.timer.notify_one();
+            }
+        }
+    }
+}
+
+async fn read_ledger(node: Arc<Node>, ledger: LedgerId) {
+    let result = match node.store.get::<Ledger>(KIND, &ledger.to_string()).await {
+        Ok(Some(stored)) => ReadResult::Found(stored.version, stored.value),
+        Ok(None) => ReadResult::Found(0, Ledger::default()),
+        Err(error) => {
+            log::warn!("once: ledger {ledger} was not read: {error}");
+            ReadResult::Failed
+        }
+    };
+    feed(&node, HomeEvent::Read(ledger, result));
+}
+
+async fn write_ledger(node: Arc<Node>, ledger: LedgerId, version: u64, value: Ledger) {
+    node.metrics.count("ledger.writes", 1);
+    let result = match node
+        .store
+        .put_if(KIND, &ledger.to_string(), version, &value)
+        .await
+    {
+        Put::Applied(version) => WriteResult::Applied(version),
+        Put::Conflict(version) => WriteResult::Conflict(version),
+        Put::Refused(error) => {
+            log::warn!("once: ledger {ledger} was not written: {error}");
+            WriteResult::Refused
+        }
+        Put::Unknown(error) => {
+            log::warn!("once: the reply to a write of ledger {ledger} was lost: {error}");
+            WriteResult::Unknown
+        }
+    };
+    feed(&node, HomeEvent::Written(ledger, result));
+}
+
+/// Encodes a request to the home on another node.
+pub fn write_request(request: &Request) -> ClaimRequest {
+    let spec = &request.spec;
+    let operation = match &request.operation {
+        Operation::Claim => WireOperation::Claim(wire::NewClaim {}),
+        Operation::Revoke(code) => WireOperation::Revoke(code.number().into()),
+        Operation::Settle(settlement) => WireOperation::Settle(write_settlement(settlement)),
+    };
+    ClaimRequest {
+        service: spec.key.service().into(),
+        key: spec.key.key().into(),
+        attempt: spec.attempt,
+        digest: spec.digest,
+        window_ms: spec.window_ms,
+        sent_ms: request.sent_ms,
+        operation: Some(operation),
+    }
+}
+
+/// Decodes a request of another node; `None` when it is not valid.
+pub fn read_request(request: ClaimRequest) -> Option<Request> {
+    let operation = match request.operation? {
+        WireOperation::Claim(_) => Operation::Claim,
+        WireOperation::Revoke(code) => Operation::Revoke(read_code(code)?),
+        WireOperation::Settle(settlement) => Operation::Settle(read_settlement(settlement)?),
+    };
+    let key = ClaimKey::new(&request.service, &request.key).ok()?;
+    let spec = ClaimSpec {
+        key,
+        attempt: request.attempt,
+        digest: request.digest,
+        window_ms: request.window_ms,
+    };
+    Some(Request {
+        spec,
+        operation,
+        sent_ms: request.sent_ms,
+    })
+}
+
+/// Encodes the answer of this node's home.
+pub fn write_verdict(verdict: Verdict) -> ClaimReply {
+    let mut reply = ClaimReply::default();
+    let status = match verdict {
+        Verdict::Granted { deadline_ms } => {
+            reply.deadline_ms = deadline_ms;
+            ClaimStatus::Granted
+        }
+        Verdict::InProgress => ClaimStatus::InProgress,
+        Verdict::Settled(settlement) => {
+            reply.settlement = Some(write_settlement(&settlement));
+            ClaimStatus::Settled
+        }
+        Verdict::KeyReused => ClaimStatus::Reused,
+        Verdict::Full => ClaimStatus::Full,
+        Verdict::Missing => ClaimStatus::Missing,
+        Verdict::Unavailable => ClaimStatus::Unavailable,
+        Verdict::Unsure => ClaimStatus::Unsure,
+    };
+    reply.set_status(status);
+    reply
+}
+
+/// Decodes the answer of another node's home; one that is not valid proves nothing.
+pub fn read_verdict(reply: ClaimReply) -> Verdict {
+    match reply.status() {
+        ClaimStatus::Granted => Verdict::Granted {
+            deadline_ms: reply.deadline_ms,
+        },
+        ClaimStatus::InProgress => Verdict::InProgress,
+        ClaimStatus::Settled => {
+            let settlement = reply.settlement.and_then(read_settlement);
+            settlement.map_or(Verdict::Unsure, Verdict::Settled)
+        }
+        ClaimStatus::Reused => Verdict::KeyReused,
+        ClaimStatus::Full => Verdict::Full,
+        ClaimStatus::Missing => Verdict::Missing,
+        ClaimStatus::Unavailable => Verdict::Unavailable,
+        ClaimStatus::Unsure => Verdict::Unsure,
+    }
+}
+
+fn write_settlement(settlement: &Settlement) -> wire::Settlement {
+    wire::Settlement {
+        code: settlement.code.number().into(),
+        result: settlement
+            .result
+            .as_ref()
+            .map(|result| result.as_bytes().to_vec().into()),
+    }
+}
+
+fn read_settlement(settlement: wire::Settlement) -> Option<Settlement> {
+    let result = match settlement.result {
+        Some(bytes) => Some(String::from_utf8(bytes.into()).ok()?.into()),
+        None => None,
+    };
+    Some(Settlement {
+        code: read_code(settlement.code)?,
+        result,
+    })
+}
+
+fn read_code(number: u32) -> Option<Code> {
+    Code::try_from(u16::try_from(number).ok()?).ok()
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,12 +16,17 @@
 //! ```
 
 mod api;
+mod claimed;
 mod control;
+mod home;
 mod metrics;
 mod node;
+mod peer;
+mod peers;
 mod pool;
 mod request;
 mod run;
+mod scatter;
 mod serve;
 mod settings;
 mod status;
@@ -37,4 +42,7 @@
 pub use crate::settings::load_settings;
 pub use crate::settings::parse_settings;
 pub use crate::status::LatencyStatus;
+pub use crate::status::RevisionStatus;
 pub use crate::status::Status;
+pub use crate::status::UpstreamStatus;
+pub use crate::status::ZoneStatus;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -2,12 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,14 +19,30 @@
 use base::Code;
 use base::IndexName;
 use base::IndexState;
+use base::NodeId;
 use base::QueryId;
+use base::Revision;
 use base::Upstream;
 use base::UpstreamId;
 use base::UpstreamState;
+use base::Vm;
 use base::hash_key;
+use conf::Freshness;
+use conf::InForce;
+use conf::Offered;
+use conf::Update;
 use decl::Catalogue;
+use limit::Blocked;
+use limit::Ending;
 use limit::Limits;
+use limit::Permit;
 use limit::Tuning;
+use member::Evidence;
+use member::GroupName;
+use member::Health;
+use member::Identity;
+use member::Outgoing;
+use member::View;
 use query::Action;
 use query::Env;
 use query::Event;
@@ -34,11 +52,20 @@
 use rand_pcg::Pcg64;
 use store::Client;
 use store::ClientOptions;
+use tokio::sync::Notify;
+use wire::BeatMessage;
+use wire::BeatReply;
 
+use crate::home::Homes;
+use crate::home::read_clocks;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::pool::CallError;
 use crate::pool::Pool;
 use crate::run::send_cancel;
+use crate::run::send_cancel_through;
 use crate::settings::Settings;
+use crate::status::UpstreamStatus;
 
 /// Bits of an attempt id that count attempts; the bits above tell nodes and incarnations apart.
 const ATTEMPT_BITS: u32 = 40;
@@ -54,16 +81,50 @@
     pub pool: Pool,
     /// Client of the platform's object API.
     pub store: Client,
-    catalogue: RwLock<Option<Arc<Catalogue>>>,
+    /// Connections to other entry VMs.
+    pub peers: Peers,
+    /// The home of ledger objects on this node.
+    pub homes: Homes,
+    conf: Mutex<InForce>,
+    view: Mutex<View>,
+    epoch: AtomicU64,
     indexes: RwLock<BTreeMap<IndexName, Arc<IndexState>>>,
     limits: Mutex<Limits>,
+    released: Notify,
+    heard: Mutex<HashMap<UpstreamId, Instant>>,
     ids: Mutex<Ids>,
-    tracked: Mutex<HashMap<AttemptId, Upstream>>,
+    tracked: Mutex<HashMap<AttemptId, Target>>,
+    listed: AtomicBool,
     stopping: AtomicBool,
     closed: AtomicBool,
     active: AtomicUsize,
 }
 
+/// Where an attempt was sent.
+#[derive(Debug, Clone)]
+enum Target {
+    Upstream(Upstream),
+    Holder(Holder),
+}
+
+/// An entry VM that connects to a group of upstreams on behalf of others.
+#[derive(Debug, Clone)]
+pub struct Holder {
+    /// The VM.
+    pub node: NodeId,
+    /// Its address for peers.
+    pub addr: SocketAddr,
+}
+
+/// How this node reaches an upstream.
+#[derive(Debug, Clone)]
+pub enum Route {
+    /// Over its own connections.
+    Direct,
+    /// Through one of the holders of a group, the first one that can be reached.
+    Through(GroupName, Vec<Holder>),
+}
+
 /// Sources of identifiers and random numbers.
 #[derive(Debug)]
 struct Ids {
@@ -84,31 +145,49 @@
 }
 
 /// Locks a mutex; a panic in another task does not make its data unusable.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Node {
     /// Creates the state of an entry VM; `seed` starts its random generators and identifies its incarnation.
-    pub fn new(settings: Settings, seed: u64) -> Node {
+    ///
+    /// `peer` is the address that other entry VMs connect to.
+    pub fn new(settings: Settings, peer: SocketAddr, seed: u64) -> Node {
+        let now = Instant::now();
         let prefix = hash_key(&format!("{}/{seed}", settings.node)) >> ATTEMPT_BITS;
         let ids = Ids {
             attempt: prefix << ATTEMPT_BITS,
             rng: Pcg64::seed_from_u64(seed),
         };
+        let identity = Identity {
+            id: settings.node.clone(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            addr: peer,
+            incarnation: read_clocks().wall_ms,
+        };
+        let limits = Limits::new(
+            settings.zone.clone(),
+            settings.region.clone(),
+            Tuning::default(),
+        );
         Node {
             metrics: Metrics::new(settings.statsd),
             pool: Pool::new(settings.zone.clone()),
             store: Client::new(ClientOptions::new(settings.platform, seed)),
-            catalogue: RwLock::default(),
+            peers: Peers::default(),
+            homes: Homes::default(),
+            conf: Mutex::new(InForce::new(now)),
+            view: Mutex::new(View::new(identity, now)),
+            epoch: AtomicU64::new(0),
             indexes: RwLock::default(),
-            limits: Mutex::new(Limits::new(
-                settings.zone.clone(),
-                settings.region.clone(),
-                Tuning::default(),
-            )),
+            limits: Mutex::new(limits),
+            released: Notify::new(),
+            heard: Mutex::default(),
             ids: Mutex::new(ids),
             tracked: Mutex::default(),
+            listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             active: AtomicUsize::new(0),
@@ -118,42 +197,238 @@
 
     /// Returns the configuration in force.
     pub fn catalogue(&self) -> Option<Arc<Catalogue>> {
-        self.catalogue
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        lock(&self.conf).catalogue().cloned()
+    }
+
+    /// Returns the revision in force; zero before the first.
+    pub fn revision(&self) -> Revision {
+        lock(&self.conf).revision()
     }
 
     /// Returns the age of the configuration when it exceeds the bound within which it should be confirmed.
-    pub fn stale(&self, _now: Instant) -> Option<Duration> {
-        None
-    }
-
-    /// Takes in a catalogue; only a higher revision than the one in force is accepted.
-    pub fn offer_catalogue(&self, catalogue: Catalogue) {
-        let mut current = self
-            .catalogue
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        if current
-            .as_ref()
-            .is_none_or(|current| current.revision < catalogue.revision)
-        {
-            log::info!("conf: revision {} in force", catalogue.revision);
-            *current = Some(Arc::new(catalogue));
+    pub fn stale(&self, now: Instant) -> Option<Duration> {
+        match lock(&self.conf).freshness(now) {
+            Freshness::Fresh => None,
+            Freshness::Cautious { age } => Some(age),
+        }
+    }
+
+    /// Takes in a catalogue that the platform returned to a question sent at `asked`.
+    pub fn offer_catalogue(&self, catalogue: Catalogue, asked: Instant) {
+        let revision = catalogue.revision;
+        let changed = lock(&self.conf).offer(catalogue, Instant::now());
+        self.confirm(revision, asked);
+        self.announce(changed);
+    }
+
+    /// Takes in what a peer passed on; returns whether the whole catalogue is needed.
+    pub fn offer_update(&self, update: Update) -> bool {
+        let offered = lock(&self.conf).offer_update(update, Instant::now());
+        self.announce(offered == Offered::Changed);
+        offered == Offered::Gap
+    }
+
+    /// Records that the platform had a revision as its newest at a moment.
+    pub fn confirm(&self, revision: Revision, at: Instant) {
+        lock(&self.conf).confirm(revision, at);
+    }
+
+    /// Returns what a peer at a revision needs.
+    pub fn update_since(&self, since: Revision) -> Option<Update> {
+        lock(&self.conf).update_since(since)
+    }
+
+    fn announce(&self, changed: bool) {
+        if !changed {
+            return;
         }
+        let Some(catalogue) = self.catalogue() else {
+            return;
+        };
+        log::info!("conf: revision {} in force", catalogue.revision);
+        lock(&self.view).set_revision(catalogue.revision, Instant::now());
+        lock(&self.limits).retain_services(|service| catalogue.entries.contains_key(service));
     }
 
     /// Takes in the state of an index as the platform holds it.
     pub fn set_index(&self, index: IndexState) {
-        lock(&self.limits).set_index(&index, self.peers());
+        lock(&self.view).set_upstreams(&index.index, &index.upstreams, Instant::now());
         let mut indexes = self.indexes.write().unwrap_or_else(PoisonError::into_inner);
         indexes.insert(index.index.clone(), Arc::new(index));
+        drop(indexes);
+        self.refresh_shares();
+    }
+
+    /// Takes in the platform's list of VMs.
+    pub fn set_list(&self, list: &[Vm]) {
+        lock(&self.view).set_list(list, Instant::now());
+        self.listed.store(true, Ordering::SeqCst);
+        self.refresh_shares();
+    }
+
+    /// Returns the heartbeats that are due, and follows what changed in the view.
+    pub fn tick_view(&self) -> Vec<Outgoing> {
+        let mut view = lock(&self.view);
+        let outgoing = view.tick(Instant::now(), &mut lock(&self.ids).rng);
+        let epoch = view.epoch();
+        drop(view);
+        if self.epoch.swap(epoch, Ordering::SeqCst) != epoch {
+            self.refresh_shares();
+        }
+        outgoing
+    }
+
+    /// Merges a heartbeat of a peer.
+    pub fn receive_beat(&self, beat: &BeatMessage) -> BeatReply {
+        lock(&self.view).receive(beat, Instant::now())
+    }
+
+    /// Merges the reply to a heartbeat.
+    pub fn receive_beat_reply(&self, reply: &BeatReply) {
+        lock(&self.view).receive_reply(reply, Instant::now());
+    }
+
+    /// Returns a heartbeat that only introduces this node.
+    pub fn introduction(&self) -> BeatMessage {
+        BeatMessage {
+            sender: Some(lock(&self.view).me().to_message()),
+            ..BeatMessage::default()
+        }
+    }
+
+    /// Announces that this node is going to stop.
+    pub fn leave(&self) {
+        lock(&self.view).leave(Instant::now());
+    }
+
+    /// Looks at the view of the fleet.
+    pub fn with_view<T>(&self, look: impl FnOnce(&View) -> T) -> T {
+        look(&lock(&self.view))
+    }
+
+    /// Tells whether this node watches the platform on behalf of its zone.
+    pub fn is_relay(&self) -> bool {
+        let view = lock(&self.view);
+        view.relays(&self.settings.zone)
+            .contains(&&self.settings.node)
+    }
+
+    /// Returns a peer that has a higher revision than this node.
+    pub fn newer_peer(&self) -> Option<SocketAddr> {
+        let revision = self.revision();
+        let view = lock(&self.view);
+        let (newest, id) = view.newest()?;
+        (newest > revision).then(|| view.node(id).map(|node| node.record.addr))?
     }
 
-    /// Returns the number of entry VMs that connect to upstreams.
-    fn peers(&self) -> u32 {
-        18
+    /// Returns the address of the home of a ledger object; `None` when it is this node.
+    pub fn home(&self, ledger: u8) -> Option<SocketAddr> {
+        let view = lock(&self.view);
+        let id = view
+            .home(ledger.into())
+            .filter(|id| **id != self.settings.node)?;
+        view.node(id).map(|node| node.record.addr)
+    }
+
+    /// Gives every upstream the connections that the view allows this node.
+    fn refresh_shares(&self) {
+        let view = lock(&self.view);
+        let mut limits = lock(&self.limits);
+        for index in self
+            .indexes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .values()
+        {
+            for upstream in &index.upstreams {
+                let share = view.share(&upstream.id);
+                limits.set_upstream(upstream, (share > 0).then_some(share));
+            }
+        }
+    }
+
+    /// Tells how to reach an upstream.
+    pub fn route(&self, upstream: &UpstreamId) -> Route {
+        if self.share(upstream) > 0 {
+            return Route::Direct;
+        }
+        let view = lock(&self.view);
+        let Some(group) = view.group(upstream).cloned() else {
+            return Route::Direct;
+        };
+        let zone = view
+            .groups()
+            .find(|(name, _)| **name == group)
+            .map(|(_, group)| group.zone.clone());
+        let holders = view.holders(&group, &zone.unwrap_or_default());
+        let holders = holders
+            .into_iter()
+            .filter(|id| **id != self.settings.node)
+            .filter_map(|id| {
+                Some(Holder {
+                    node: id.clone(),
+                    addr: view.node(id)?.record.addr,
+                })
+            })
+            .collect();
+        Route::Through(group, holders)
+    }
+
+    /// Follows what peers say of upstreams that are leaving.
+    pub fn apply_drains(&self) {
+        let now = Instant::now();
+        let view = lock(&self.view);
+        let mut limits = lock(&self.limits);
+        for index in self
+            .indexes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .values()
+        {
+            for upstream in &index.upstreams {
+                if view.health(&upstream.id, now) == Health::Draining
+                    && let Some(key) = limits.key(&upstream.id)
+                {
+                    limits.note_state(key, UpstreamState::Draining, now, now);
+                }
+            }
+        }
+    }
+
+    /// Returns the upstreams that this node has to probe, because it holds their group and has not heard from them
+    /// within `age`.
+    pub fn silent_upstreams(&self, age: Duration) -> Vec<Upstream> {
+        let now = Instant::now();
+        let view = lock(&self.view);
+        let heard = lock(&self.heard);
+        let indexes = self.indexes.read().unwrap_or_else(PoisonError::into_inner);
+        let mut silent = Vec::new();
+        for (name, group) in view.groups() {
+            if !view
+                .holders(name, &group.zone)
+                .contains(&&self.settings.node)
+            {
+                continue;
+            }
+            let Some(index) = indexes.get(&group.index) else {
+                continue;
+            };
+            for id in &group.upstreams {
+                let recent = heard
+                    .get(id)
+                    .is_some_and(|at| now.saturating_duration_since(*at) < age);
+                if !recent {
+                    silent.extend(
+                        index
+                            .upstreams
+                            .iter()
+                            .find(|upstream| upstream.id == *id)
+                            .cloned(),
+                    );
+                }
+            }
+        }
+        silent
     }
 
     /// Returns the state of an index.
@@ -191,12 +466,78 @@
 
     /// Takes in the state that an upstream named in a reply to a request sent at `sent`.
     pub fn note_state(&self, upstream: &UpstreamId, state: UpstreamState, sent: Instant) {
+        let now = Instant::now();
+        lock(&self.heard).insert(upstream.clone(), now);
+        lock(&self.view).observe(upstream, Evidence::Replied(state), now);
         let mut limits = lock(&self.limits);
         if let Some(key) = limits.key(upstream) {
-            limits.note_state(key, state, sent, Instant::now());
+            limits.note_state(key, state, sent, now);
+        }
+    }
+
+    /// Takes in what a failed call says of an upstream.
+    pub fn note_error(&self, upstream: &UpstreamId, error: CallError) {
+        let evidence = match error {
+            CallError::Unreachable => Evidence::ConnectFailed,
+            CallError::Refused => Evidence::ConnectRefused,
+            CallError::Lost | CallError::ShareInUse => return,
+        };
+        lock(&self.view).observe(upstream, evidence, Instant::now());
+    }
+
+    /// Waits for a permit of an upstream until the deadline; on failure tells why there was none.
+    pub async fn wait_permit(
+        &self,
+        upstream: &UpstreamId,
+        deadline: Instant,
+        poll: Duration,
+    ) -> Result<Permit, &'static str> {
+        loop {
+            let now = Instant::now();
+            if now >= deadline {
+                return Err("the deadline passed before the upstream had a place");
+            }
+            match self.acquire(upstream, now) {
+                Ok(permit) => return Ok(permit),
+                Err(Blocked::Draining) => return Err("the upstream is draining"),
+                Err(Blocked::Paused) => return Err("the upstream is paused after failures"),
+                Err(Blocked::Unknown) => return Err("the holder does not know the upstream"),
+                Err(Blocked::Limit | Blocked::Share) => {}
+            }
+            let _ = tokio::time::timeout(poll, self.released.notified()).await;
         }
     }
 
+    fn acquire(&self, upstream: &UpstreamId, now: Instant) -> Result<Permit, Blocked> {
+        let mut limits = lock(&self.limits);
+        let key = limits.key(upstream).ok_or(Blocked::Unknown)?;
+        limits.acquire(key, now)
+    }
+
+    /// Gives a permit back.
+    pub fn release(&self, permit: Permit, ending: Ending) {
+        lock(&self.limits).release(permit, ending, Instant::now());
+        self.released.notify_one();
+    }
+
+    /// Lists the upstreams that take no new work, by what this node and its peers have seen.
+    pub fn troubled_upstreams(&self, now: Instant) -> Vec<UpstreamStatus> {
+        let view = lock(&self.view);
+        let ids = view.groups().flat_map(|(_, group)| &group.upstreams);
+        ids.filter_map(|id| {
+            let state = match view.health(id, now) {
+                Health::Draining => "draining",
+                Health::Suspect => "suspect",
+                Health::Live | Health::Gone => return None,
+            };
+            Some(UpstreamStatus {
+                upstream: id.to_string(),
+                state: state.into(),
+            })
+        })
+        .collect()
+    }
+
     /// Advances a query by one event under the lock of the limits.
     pub fn advance(&self, query: &mut Query, index: &str, event: Event) -> Vec<Action> {
         let index = self
@@ -214,6 +555,18 @@
         query.handle(event, Instant::now(), &mut env)
     }
 
+    /// Gives up a query and what it holds.
+    pub fn abandon(&self, query: &mut Query) {
+        query.abandon(Instant::now(), &mut lock(&self.limits));
+    }
+
+    /// Returns a fresh attempt id.
+    pub fn next_attempt(&self) -> AttemptId {
+        let mut ids = lock(&self.ids);
+        ids.attempt += 1;
+        ids.attempt
+    }
+
     /// Returns a fresh query id.
     pub fn next_query(&self) -> QueryId {
         let mut ids = lock(&self.ids);
@@ -222,7 +575,13 @@
 
     /// Remembers where an attempt was sent, so that it can be cancelled.
     pub fn track(&self, attempt: AttemptId, upstream: &Upstream) {
-        lock(&self.tracked).insert(attempt, upstream.clone());
+        lock(&self.tracked).insert(attempt, Target::Upstream(upstream.clone()));
+    }
+
+    /// Remembers the holder that attempts were sent through.
+    pub fn track_holder(&self, attempts: impl Iterator<Item = AttemptId>, holder: &Holder) {
+        let mut tracked = lock(&self.tracked);
+        tracked.extend(attempts.map(|attempt| (attempt, Target::Holder(holder.clone()))));
     }
 
     /// Forgets an attempt that ended.
@@ -230,11 +589,17 @@
         lock(&self.tracked).remove(&attempt);
     }
 
-    /// Cancels an attempt at its upstream, if it is still in progress.
+    /// Cancels an attempt where it was sent, if it is still in progress.
     pub fn cancel(self: &Arc<Self>, attempt: AttemptId) {
-        let upstream = lock(&self.tracked).get(&attempt).cloned();
-        if let Some(upstream) = upstream {
-            tokio::spawn(send_cancel(self.clone(), attempt, upstream));
+        let target = lock(&self.tracked).get(&attempt).cloned();
+        match target {
+            Some(Target::Upstream(upstream)) => {
+                tokio::spawn(send_cancel(self.clone(), attempt, upstream));
+            }
+            Some(Target::Holder(holder)) => {
+                tokio::spawn(send_cancel_through(self.clone(), attempt, holder));
+            }
+            None => {}
         }
     }
 
@@ -271,10 +636,13 @@
         if self.stopping.load(Ordering::SeqCst) {
             return Err(Code::Stopping);
         }
-        match self.catalogue() {
-            Some(_) => Ok(()),
-            None => Err(Code::NotReady),
-        }
+        let ready = self.catalogue().is_some() && self.knows_fleet() && self.index_count() > 0;
+        if ready { Ok(()) } else { Err(Code::NotReady) }
+    }
+
+    /// Tells whether the size of the fleet is known, without which no share of a server's connections is safe.
+    pub fn knows_fleet(&self) -> bool {
+        self.listed.load(Ordering::SeqCst) || lock(&self.view).nodes().count() > 1
     }
 }
 
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 use base::HEADER_NOT_RUN;
 use base::HEADER_STATE;
@@ -24,6 +25,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// Largest reply accepted from an upstream, in bytes; a larger one counts as lost.
 const REPLY_LIMIT: usize = 8 * 1024 * 1024;
@@ -46,10 +48,17 @@
     pub body: Bytes,
 }
 
+/// A connection that was taken for one request.
+#[derive(Debug)]
+pub struct Ready {
+    host: Arc<Host>,
+    connection: Connection,
+}
+
 /// Why there is no reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallError {
-    /// This node's share of the server's connections is in use; nothing was sent.
+    /// Every connection of this node's share stayed in use until the deadline; nothing was sent.
     ShareInUse,
     /// The server closed a new connection at once, as one at its connection limit does; nothing was sent.
     Refused,
@@ -69,6 +78,7 @@
 #[derive(Debug, Default)]
 struct Host {
     inner: Mutex<HostInner>,
+    freed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -86,6 +96,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         self.host.lock().open -= 1;
+        self.host.freed.notify_one();
     }
 }
 
@@ -139,43 +150,105 @@
 
     /// Sends a request over an idle or a new connection and reads the whole reply.
     ///
-    /// With `verified`, a new connection first carries a health check. A server at its connection limit closes a new
-    /// connection at once, and a request written to it could not be told apart from one that was run.
+    /// A request that comes back unsent, because the server closed the idle connection, is tried once more on a new one.
     pub async fn call(
         &self,
         upstream: &Upstream,
         share: u32,
         path: &str,
         body: Bytes,
-        verified: bool,
+        deadline: Instant,
     ) -> Result<Reply, CallError> {
+        let ready = self.prepare(upstream, share, deadline).await?;
+        match self.send(ready, upstream, path, body.clone()).await {
+            Err(CallError::Refused) => {
+                let host = self.host(&upstream.id);
+                let slot = host.reserve(share).ok_or(CallError::ShareInUse)?;
+                let connection = connect(slot, upstream).await?;
+                self.send(Ready { host, connection }, upstream, path, body)
+                    .await
+            }
+            result => result,
+        }
+    }
+
+    /// Takes an idle connection or opens one.
+    ///
+    /// When every connection of the share is in use, it waits for one until the deadline: the reply of a cancelled
+    /// request keeps its connection for a moment.
+    pub async fn prepare(
+        &self,
+        upstream: &Upstream,
+        share: u32,
+        deadline: Instant,
+    ) -> Result<Ready, CallError> {
         let host = self.host(&upstream.id);
-        let mut connection = match host.take_idle() {
-            Some(connection) => connection,
-            None => connect(&host, upstream, share, verified).await?,
+        let connection = tokio::time::timeout_at(deadline.into(), checkout(&host, upstream, share))
+            .await
+            .unwrap_or(Err(CallError::ShareInUse))?;
+        Ok(Ready { host, connection })
+    }
+
+    /// Takes a connection that has just carried a health check.
+    ///
+    /// A server at its connection limit closes a new connection at once, and one that restarts closes idle ones. A
+    /// request written to such a connection could not be told apart from one that was run.
+    pub async fn prepare_verified(
+        &self,
+        upstream: &Upstream,
+        share: u32,
+        deadline: Instant,
+    ) -> Result<Ready, CallError> {
+        let mut ready = self.prepare(upstream, share, deadline).await?;
+        let check = async {
+            let mut probe = Request::new(Full::new(Bytes::new()));
+            *probe.uri_mut() = http::Uri::from_static("/healthz");
+            let response = ready
+                .connection
+                .send_request(probe)
+                .await
+                .map_err(|_| CallError::Refused)?;
+            read_reply(response).await.map_err(|_| CallError::Refused)?;
+            ready
+                .connection
+                .ready()
+                .await
+                .map_err(|_| CallError::Refused)
         };
+        tokio::time::timeout_at(deadline.into(), check)
+            .await
+            .unwrap_or(Err(CallError::Unreachable))?;
+        Ok(ready)
+    }
+
+    /// Sends a request over a connection that was taken, and reads the whole reply.
+    pub async fn send(
+        &self,
+        ready: Ready,
+        upstream: &Upstream,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Reply, CallError> {
+        let Ready {
+            host,
+            mut connection,
+        } = ready;
         let request = self.request(upstream, path, body);
         let response = match connection.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
-                // An idle connection may have been closed by the server; the request comes back unsent and is tried
-                // once more on a new connection.
-                let Some(request) = error.take_message() else {
-                    return Err(CallError::Lost);
-                };
-                connection = connect(&host, upstream, share, verified).await?;
-                match connection.try_send_request(request).await {
-                    Ok(response) => response,
-                    Err(mut error) => match error.take_message() {
-                        Some(_) => return Err(CallError::Refused),
-                        None => return Err(CallError::Lost),
-                    },
-                }
+                let unsent = error.take_message().is_some();
+                return Err(if unsent {
+                    CallError::Refused
+                } else {
+                    CallError::Lost
+                });
             }
         };
         let reply = read_reply(response).await?;
         if connection.ready().await.is_ok() {
             host.lock().idle.push(connection);
+            host.freed.notify_one();
         }
         Ok(reply)
     }
@@ -207,19 +280,30 @@
     }
 }
 
-/// Opens a connection within the share; a task drives it until it closes, and only then its slot is free again.
-async fn connect(
+/// Takes an idle connection, opens one within the share, or waits until one is free.
+async fn checkout(
     host: &Arc<Host>,
     upstream: &Upstream,
     share: u32,
-    verified: bool,
 ) -> Result<Connection, CallError> {
-    let slot = host.reserve(share).ok_or(CallError::ShareInUse)?;
+    loop {
+        if let Some(connection) = host.take_idle() {
+            return Ok(connection);
+        }
+        if let Some(slot) = host.reserve(share) {
+            return connect(slot, upstream).await;
+        }
+        host.freed.notified().await;
+    }
+}
+
+/// Opens a connection; a task drives it until it closes, and only then its slot is free again.
+async fn connect(slot: Slot, upstream: &Upstream) -> Result<Connection, CallError> {
     let stream = TcpStream::connect(upstream.addr)
         .await
         .map_err(|_| CallError::Unreachable)?;
     let _ = stream.set_nodelay(true);
-    let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
+    let (sender, driver) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| CallError::Refused)?;
     tokio::spawn(async move {
@@ -228,16 +312,6 @@
         }
         drop(slot);
     });
-    if verified {
-        let mut probe = Request::new(Full::new(Bytes::new()));
-        *probe.uri_mut() = http::Uri::from_static("/healthz");
-        let response = sender
-            .send_request(probe)
-            .await
-            .map_err(|_| CallError::Refused)?;
-        read_reply(response).await.map_err(|_| CallError::Refused)?;
-        sender.ready().await.map_err(|_| CallError::Refused)?;
-    }
     Ok(sender)
 }
 
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -8,12 +8,16 @@
 use base::Outcome;
 use base::QueryId;
 use base::RequestName;
+use base::Revision;
 use base::ServiceName;
 use base::ShardId;
 use compact_str::CompactString;
 use decl::Catalogue;
 use decl::Declaration;
 use decl::ShardSet;
+use once::ClaimKey;
+use once::ClaimSpec;
+use once::digest_request;
 use query::Answer;
 use query::Plan;
 use query::Policy;
@@ -22,6 +26,9 @@
 
 use crate::api::AnswerBody;
 use crate::api::FailureBody;
+use crate::claimed::ClaimedEnd;
+use crate::claimed::generate_key;
+use crate::claimed::run_claimed;
 use crate::metrics::class_word;
 use crate::node::Node;
 use crate::run::run_query;
@@ -48,7 +55,7 @@
 /// Serves one request; the caller's connection may break without cutting the request short.
 pub async fn serve_call(node: &Arc<Node>, call: Call) -> Result<AnswerBody, FailureBody> {
     let started = Instant::now();
-    let _active = node.enter().map_err(|code| FailureBody::new(code, None))?;
+    let active = node.enter().map_err(|code| FailureBody::new(code, None))?;
     let catalogue = node
         .catalogue()
         .ok_or_else(|| FailureBody::new(Code::NotReady, None))?;
@@ -56,18 +63,91 @@
     let repeatable = declaration
         .request(&call.request)
         .is_some_and(|request| request.repeatable);
-    if !repeatable {
-        return Err(FailureBody::new(Code::ClaimUnavailable, None));
+    let mut plan = make_plan(node, &catalogue, declaration, &call, started);
+    if repeatable {
+        let answer = run_query(node, plan, call.body).await;
+        record_end(node, declaration, &answer, started);
+        return match answer.code.outcome() {
+            Some(Outcome::Answered | Outcome::Partial) => {
+                Ok(AnswerBody::from_answer(answer, call.explain))
+            }
+            Some(Outcome::Refused | Outcome::Unknown) | None => {
+                Err(FailureBody::from_answer(answer, call.explain))
+            }
+        };
     }
-    let explain = call.explain;
-    let answer = run_read(node, &catalogue, declaration, call, started).await;
-    record_end(node, declaration, &answer, started);
-    match answer.code.outcome() {
-        Some(Outcome::Answered | Outcome::Partial) => Ok(AnswerBody::from_answer(answer, explain)),
-        Some(Outcome::Refused | Outcome::Unknown) | None => {
-            Err(FailureBody::from_answer(answer, explain))
-        }
+    plan.repeatable = false;
+    if plan.key.is_empty() {
+        plan.key = generate_key(node);
     }
+    let key = ClaimKey::new(&plan.service, &plan.key)
+        .map_err(|error| FailureBody::new(Code::InvalidBody, Some(error.to_string())))?;
+    let spec = ClaimSpec {
+        key,
+        attempt: node.next_attempt(),
+        digest: digest_request(&plan.request, call.body.get()),
+        window_ms: 0,
+    };
+    let id = plan.id;
+    let key = plan.key.clone();
+    let end = run_claimed(node, active, plan, spec, call.body).await;
+    if let Some(answer) = &end.answer {
+        record_end(node, declaration, answer, started);
+    } else {
+        let code = end.settlement.code;
+        node.metrics.record_answer(
+            &declaration.service,
+            declaration.class,
+            code,
+            started.elapsed(),
+        );
+    }
+    make_claimed_body(end, id, key, catalogue.revision, call.explain)
+}
+
+/// Builds the body of a request that runs at most once, whether it ran for this call or for an earlier one.
+fn make_claimed_body(
+    end: ClaimedEnd,
+    id: QueryId,
+    key: CompactString,
+    revision: Revision,
+    explain: bool,
+) -> Result<AnswerBody, FailureBody> {
+    let code = end.settlement.code;
+    let explanation = end.answer.map(|answer| answer.explanation);
+    if code.outcome() != Some(Outcome::Answered) {
+        return Err(FailureBody {
+            query: Some(format_query(id).as_str().into()),
+            key: Some(key.as_str().into()),
+            coverage: explanation
+                .as_ref()
+                .map(|explanation| Box::new(explanation.coverage.clone())),
+            explanation: explanation.filter(|_| explain).map(Box::new),
+            ..FailureBody::new(code, None)
+        });
+    }
+    let result = end
+        .settlement
+        .result
+        .and_then(|text| RawValue::from_string(text.into()).ok());
+    Ok(AnswerBody {
+        outcome: "answered",
+        code: code.number(),
+        meaning: code.meaning(),
+        query: format_query(id).to_string(),
+        revision,
+        key: Some(key.to_string()),
+        snapshot: explanation
+            .as_ref()
+            .and_then(|explanation| explanation.snapshot),
+        coverage: explanation
+            .as_ref()
+            .map(|explanation| explanation.coverage.clone())
+            .unwrap_or_default(),
+        parts: Vec::new(),
+        result,
+        explanation: explanation.filter(|_| explain),
+    })
 }
 
 fn find_declaration<'a>(
@@ -93,17 +173,6 @@
     Ok(declaration)
 }
 
-async fn run_read(
-    node: &Arc<Node>,
-    catalogue: &Catalogue,
-    declaration: &Declaration,
-    call: Call,
-    started: Instant,
-) -> Answer {
-    let plan = make_plan(node, catalogue, declaration, &call, started);
-    run_query(node, plan, call.body).await
-}
-
 fn make_plan(
     node: &Node,
     catalogue: &Catalogue,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,14 +1,19 @@
 //! Drives the state machine of a query: sends its sub-requests, and feeds replies and timers back.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
+use base::AttemptId;
 use base::CancelRequest;
 use base::QueryReply;
 use base::QueryRequest;
 use base::RejectReply;
+use base::Upstream;
 use bytes::Bytes;
 use http::StatusCode;
+use member::GroupName;
 use query::Action;
 use query::Answer;
 use query::Attempt;
@@ -21,26 +26,42 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::node::Holder;
 use crate::node::Node;
+use crate::node::Route;
 use crate::pool::CallError;
 use crate::pool::Reply;
 use crate::request::format_query;
+use crate::scatter::send_group;
 
 /// Path of a query at an upstream.
-const PATH_QUERY: &str = "/v1/query";
+pub const PATH_QUERY: &str = "/v1/query";
 
 /// Path by which an attempt is cancelled at an upstream.
 const PATH_CANCEL: &str = "/v1/cancel";
 
+/// Longest wait for a connection that carries a cancellation; later it would save no work.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// What every attempt of one query has in common.
 #[derive(Debug)]
-struct Shared {
-    node: Arc<Node>,
-    plan: Plan,
-    body: Box<RawValue>,
+pub struct Shared {
+    /// The node that runs the query.
+    pub node: Arc<Node>,
+    /// The fixed inputs of the query.
+    pub plan: Plan,
+    /// The caller's body.
+    pub body: Box<RawValue>,
     events: UnboundedSender<Event>,
 }
 
+impl Shared {
+    /// Hands an event to the query, which may have ended.
+    pub fn report(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+}
+
 /// Runs a query to its answer.
 ///
 /// Events are handled one at a time under the lock of the node's limits, which is never held across an await point.
@@ -57,14 +78,16 @@
     let mut event = Event::Start;
     let mut wake = deadline;
     loop {
+        let mut attempts = Vec::new();
         for action in node.advance(&mut query, &shared.plan.index, event) {
             match action {
-                Action::Send(attempt) => drop(tokio::spawn(send_attempt(shared.clone(), attempt))),
+                Action::Send(attempt) => attempts.push(attempt),
                 Action::Cancel(attempt) => node.cancel(attempt),
                 Action::WakeAt(at) => wake = at,
                 Action::Finish(answer) => return *answer,
             }
         }
+        send_attempts(&shared, attempts);
         event = tokio::select! {
             Some(event) = inbox.recv() => event,
             () = tokio::time::sleep_until(wake.into()) => Event::Wake,
@@ -72,10 +95,34 @@
     }
 }
 
+/// Sends attempts to the upstreams that this node connects to, and the rest through holders, one message a group.
+fn send_attempts(shared: &Arc<Shared>, attempts: Vec<Attempt>) {
+    let mut groups: BTreeMap<GroupName, (Vec<Holder>, Vec<Attempt>)> = BTreeMap::new();
+    for attempt in attempts {
+        match shared.node.route(&attempt.upstream) {
+            Route::Direct => drop(tokio::spawn(send_attempt(shared.clone(), attempt))),
+            Route::Through(group, holders) => {
+                groups
+                    .entry(group)
+                    .or_insert_with(|| (holders, Vec::new()))
+                    .1
+                    .push(attempt);
+            }
+        }
+    }
+    for (holders, attempts) in groups.into_values() {
+        tokio::spawn(send_group(shared.clone(), holders, attempts));
+    }
+}
+
 /// Sends one attempt and reports its end to the query.
 async fn send_attempt(shared: Arc<Shared>, attempt: Attempt) {
     let (node, plan) = (&shared.node, &shared.plan);
     let id = attempt.id;
+    let Some(upstream) = node.upstream(&plan.index, &attempt.upstream) else {
+        shared.report(Event::Failed(id, Failure::Unreachable));
+        return;
+    };
     let sent = Instant::now();
     let request = QueryRequest {
         attempt: id,
@@ -88,15 +135,17 @@
         request: plan.request.clone(),
         body: shared.body.clone(),
     };
-    let Some(upstream) = node.upstream(&plan.index, &attempt.upstream) else {
-        let _ = shared.events.send(Event::Failed(id, Failure::Unreachable));
-        return;
-    };
     let share = node.share(&attempt.upstream);
     node.track(id, &upstream);
     let result = node
         .pool
-        .call(&upstream, share, PATH_QUERY, encode(&request), false)
+        .call(
+            &upstream,
+            share,
+            PATH_QUERY,
+            encode(&request),
+            attempt.deadline,
+        )
         .await;
     node.untrack(id);
     let event = match result {
@@ -106,13 +155,16 @@
             }
             read_event(id, &reply)
         }
-        Err(error) => Event::Failed(id, classify_error(error)),
+        Err(error) => {
+            node.note_error(&attempt.upstream, error);
+            Event::Failed(id, classify_error(error))
+        }
     };
-    let _ = shared.events.send(event);
+    shared.report(event);
 }
 
 /// Turns a reply into an event; a reply that is not valid may come from a run, so it counts as lost.
-fn read_event(attempt: u64, reply: &Reply) -> Event {
+pub fn read_event(attempt: u64, reply: &Reply) -> Event {
     if reply.status == StatusCode::OK {
         return match serde_json::from_slice::<QueryReply>(&reply.body) {
             Ok(message) => Event::Reply(message),
@@ -137,7 +189,8 @@
 /// Tells what a failed call proves.
 pub fn classify_error(error: CallError) -> Failure {
     match error {
-        CallError::ShareInUse | CallError::Refused => Failure::Refused,
+        CallError::ShareInUse => Failure::NotRun,
+        CallError::Refused => Failure::Refused,
         CallError::Unreachable => Failure::Unreachable,
         CallError::Lost => Failure::Lost,
     }
@@ -151,12 +204,13 @@
 }
 
 /// Tells an upstream that a reply is not needed; the attempt's own task reads the reply and frees the connection.
-pub async fn send_cancel(node: Arc<Node>, attempt: u64, upstream: base::Upstream) {
+pub async fn send_cancel(node: Arc<Node>, attempt: AttemptId, upstream: Upstream) {
     let share = node.share(&upstream.id);
     let message = CancelRequest { attempt };
+    let deadline = Instant::now() + CANCEL_TIMEOUT;
     if let Err(error) = node
         .pool
-        .call(&upstream, share, PATH_CANCEL, encode(&message), false)
+        .call(&upstream, share, PATH_CANCEL, encode(&message), deadline)
         .await
     {
         log::debug!(
@@ -165,3 +219,16 @@
         );
     }
 }
+
+/// Asks a holder to withdraw an attempt.
+pub async fn send_cancel_through(node: Arc<Node>, attempt: AttemptId, holder: Holder) {
+    let request = wire::CancelRequest {
+        attempts: vec![attempt],
+    };
+    if let Err(status) = node.peers.client(holder.addr).cancel(request).await {
+        log::debug!(
+            "peer: attempt {attempt} was not cancelled through {}: {status}",
+            holder.node
+        );
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scatter.rs
@@ -0,0 +1,328 @@
+//! Attempts that go through a holder: the sending side at the node of the query, and the holder's side.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::QueryReply;
+use base::QueryRequest;
+use base::RejectReply;
+use base::Snapshot;
+use base::UpstreamId;
+use base::UpstreamState;
+use bytes::Bytes;
+use http::StatusCode;
+use limit::Ending;
+use query::Attempt;
+use query::Event;
+use query::Failure;
+use serde_json::value::RawValue;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use tonic::Status;
+use wire::AttemptResult;
+use wire::HeaderState;
+use wire::ScatterRequest;
+use wire::attempt_result::Result as WireResult;
+
+use crate::node::Holder;
+use crate::node::Node;
+use crate::pool::CallError;
+use crate::pool::Reply;
+use crate::request::format_query;
+use crate::run::PATH_QUERY;
+use crate::run::Shared;
+use crate::run::encode;
+
+/// Pause between two looks at a gate that had no place; the release of a permit ends it early.
+const GATE_POLL: Duration = Duration::from_millis(2);
+
+/// Stream of results that a holder returns.
+pub type ResultStream = UnboundedReceiverStream<Result<AttemptResult, Status>>;
+
+/// Sends the attempts of one group to its holder and reports their ends to the query.
+///
+/// When the first holder cannot be reached nothing was sent, and the next one is asked. A stream that breaks later
+/// leaves its attempts lost, because the holder may have sent them.
+pub async fn send_group(shared: Arc<Shared>, holders: Vec<Holder>, attempts: Vec<Attempt>) {
+    let Some(first) = attempts.first() else {
+        return;
+    };
+    let mut request = make_request(&shared, first.snapshot, first.deadline);
+    request.attempts = attempts
+        .iter()
+        .map(|attempt| wire::Attempt {
+            id: attempt.id,
+            upstream: attempt.upstream.to_string(),
+            shard: attempt.shard,
+        })
+        .collect();
+    let mut open: Vec<(u64, UpstreamId)> = attempts
+        .iter()
+        .map(|attempt| (attempt.id, attempt.upstream.clone()))
+        .collect();
+    let sent = Instant::now();
+    let mut failure = Failure::Unreachable;
+    for holder in holders {
+        let mut client = shared.node.peers.client(holder.addr);
+        let stream = match client.scatter(request.clone()).await {
+            Ok(response) => response.into_inner(),
+            Err(status) if status.code() == tonic::Code::Unavailable => {
+                log::debug!("peer: holder {} cannot be reached: {status}", holder.node);
+                continue;
+            }
+            Err(status) => {
+                log::warn!("peer: holder {} failed: {status}", holder.node);
+                failure = Failure::Lost;
+                break;
+            }
+        };
+        shared
+            .node
+            .track_holder(attempts.iter().map(|attempt| attempt.id), &holder);
+        failure = Failure::Lost;
+        read_results(&shared, stream, &mut open, sent).await;
+        break;
+    }
+    for (attempt, _) in open {
+        shared.node.untrack(attempt);
+        shared.report(Event::Failed(attempt, failure.clone()));
+    }
+}
+
+fn make_request(shared: &Shared, snapshot: Snapshot, deadline: Instant) -> ScatterRequest {
+    let plan = &shared.plan;
+    ScatterRequest {
+        query: plan.id.to_be_bytes().to_vec().into(),
+        service: plan.service.to_string(),
+        index: plan.index.to_string(),
+        version: snapshot.version,
+        map: snapshot.map,
+        request: plan.request.to_string(),
+        body: shared.body.get().as_bytes().to_vec().into(),
+        deadline_ms: deadline
+            .saturating_duration_since(Instant::now())
+            .as_millis() as u64,
+        group: String::new(),
+        revision: plan.revision,
+        attempts: Vec::new(),
+    }
+}
+
+async fn read_results(
+    shared: &Shared,
+    mut stream: tonic::Streaming<AttemptResult>,
+    open: &mut Vec<(u64, UpstreamId)>,
+    sent: Instant,
+) {
+    let query = shared.plan.id.to_be_bytes();
+    while let Ok(Some(result)) = stream.message().await {
+        let Some(at) = open
+            .iter()
+            .position(|(attempt, _)| *attempt == result.attempt)
+        else {
+            continue;
+        };
+        if *result.query != query {
+            continue;
+        }
+        let (attempt, upstream) = open.swap_remove(at);
+        shared.node.untrack(attempt);
+        if let Some(state) = read_state(result.state()) {
+            shared.node.note_state(&upstream, state, sent);
+        }
+        shared.report(read_result(attempt, result));
+    }
+}
+
+fn read_result(attempt: u64, result: AttemptResult) -> Event {
+    match result.result {
+        Some(WireResult::Reply(body)) => match serde_json::from_slice::<QueryReply>(&body) {
+            Ok(reply) => Event::Reply(reply),
+            Err(error) => {
+                log::warn!("peer: reply to attempt {attempt} is not valid: {error}");
+                Event::Failed(attempt, Failure::Lost)
+            }
+        },
+        Some(WireResult::NotRun(_)) => Event::Failed(attempt, Failure::NotRun),
+        Some(WireResult::Retired(_)) => Event::Failed(attempt, Failure::Retired(result.held)),
+        Some(WireResult::Refused(_)) => Event::Failed(attempt, Failure::Refused),
+        Some(WireResult::Lost(_)) | None => Event::Failed(attempt, Failure::Lost),
+    }
+}
+
+/// Serves a group as its holder: every attempt is sent once, and its result is returned as soon as it is known.
+pub fn serve_scatter(node: &Arc<Node>, request: ScatterRequest) -> Result<ResultStream, Status> {
+    let body = String::from_utf8(request.body.to_vec())
+        .ok()
+        .and_then(|text| RawValue::from_string(text).ok());
+    let Some(body) = body else {
+        return Err(Status::invalid_argument("the body is not JSON"));
+    };
+    let query: [u8; 16] = request
+        .query
+        .as_ref()
+        .try_into()
+        .map_err(|_| Status::invalid_argument("the query id has not 16 bytes"))?;
+    let group = Arc::new(Group {
+        node: node.clone(),
+        deadline: Instant::now() + Duration::from_millis(request.deadline_ms),
+        query,
+        body,
+        request,
+    });
+    let (results, stream) = mpsc::unbounded_channel();
+    for attempt in group.request.attempts.clone() {
+        tokio::spawn(hold_attempt(group.clone(), attempt, results.clone()));
+    }
+    Ok(UnboundedReceiverStream::new(stream))
+}
+
+/// What the attempts of one group have in common at its holder.
+struct Group {
+    node: Arc<Node>,
+    deadline: Instant,
+    query: [u8; 16],
+    body: Box<RawValue>,
+    request: ScatterRequest,
+}
+
+async fn hold_attempt(
+    group: Arc<Group>,
+    attempt: wire::Attempt,
+    results: UnboundedSender<Result<AttemptResult, Status>>,
+) {
+    let started = Instant::now();
+    let mut result = AttemptResult {
+        attempt: attempt.id,
+        query: group.query.to_vec().into(),
+        holder: group.node.settings.node.to_string(),
+        ..AttemptResult::default()
+    };
+    call_upstream(&group, &attempt, &mut result).await;
+    result.upstream = attempt.upstream;
+    result.elapsed_ms = started.elapsed().as_millis() as u64;
+    // The caller may be gone, and then nobody needs the result.
+    let _ = results.send(Ok(result));
+}
+
+async fn call_upstream(group: &Group, attempt: &wire::Attempt, result: &mut AttemptResult) {
+    let node = &group.node;
+    let id = UpstreamId::from(attempt.upstream.as_str());
+    let Some(upstream) = node.upstream(&group.request.index, &id) else {
+        result.result = Some(not_run("the holder does not know the upstream"));
+        return;
+    };
+    let permit = match node.wait_permit(&id, group.deadline, GATE_POLL).await {
+        Ok(permit) => permit,
+        Err(reason) => {
+            result.result = Some(not_run(reason));
+            return;
+        }
+    };
+    let sent = Instant::now();
+    let request = QueryRequest {
+        attempt: attempt.id,
+        query: format_query(u128::from_be_bytes(group.query)),
+        index: group.request.index.as_str().into(),
+        version: group.request.version,
+        map: group.request.map,
+        shards: vec![attempt.shard],
+        deadline_ms: group.deadline.saturating_duration_since(sent).as_millis() as u64,
+        request: group.request.request.as_str().into(),
+        body: group.body.clone(),
+    };
+    node.track(attempt.id, &upstream);
+    let reply = node
+        .pool
+        .call(
+            &upstream,
+            node.share(&id),
+            PATH_QUERY,
+            encode(&request),
+            group.deadline,
+        )
+        .await;
+    node.untrack(attempt.id);
+    node.release(permit, end_of(&reply));
+    match reply {
+        Ok(reply) => {
+            if let Some(state) = reply.state {
+                node.note_state(&id, state, sent);
+                result.set_state(write_state(state));
+            }
+            fill_result(reply, result);
+        }
+        Err(error) => {
+            node.note_error(&id, error);
+            result.result = Some(fail_result(error));
+        }
+    }
+}
+
+/// Tells the gate how a call ended; the reply itself is left for the node of the query to read.
+fn end_of(reply: &Result<Reply, CallError>) -> Ending {
+    match reply {
+        Ok(reply) if reply.status == StatusCode::OK => Ending::Replied,
+        Ok(reply) if reply.status == StatusCode::GONE => Ending::Rejected,
+        Ok(reply) if reply.not_run => Ending::Shed,
+        Err(CallError::Refused) => Ending::Refused,
+        Err(CallError::ShareInUse) => Ending::Rejected,
+        Ok(_) | Err(CallError::Unreachable | CallError::Lost) => Ending::Failed,
+    }
+}
+
+fn fill_result(reply: Reply, result: &mut AttemptResult) {
+    result.result = Some(match reply.status {
+        StatusCode::OK => WireResult::Reply(reply.body),
+        StatusCode::GONE => {
+            result.held = read_held(&reply.body);
+            WireResult::Retired(wire::Retired {})
+        }
+        status if reply.not_run => not_run(&format!("the upstream replied {status}")),
+        status => WireResult::Lost(wire::Lost {
+            reason: format!("the upstream replied {status}"),
+        }),
+    });
+}
+
+fn read_held(body: &Bytes) -> Vec<u64> {
+    serde_json::from_slice::<RejectReply>(body)
+        .map(|reject| reject.held)
+        .unwrap_or_default()
+}
+
+fn not_run(reason: &str) -> WireResult {
+    WireResult::NotRun(wire::NotRun {
+        reason: reason.into(),
+    })
+}
+
+fn fail_result(error: CallError) -> WireResult {
+    match error {
+        CallError::Refused => WireResult::Refused(wire::RefusedConnection {}),
+        CallError::ShareInUse => not_run("every connection of the share is in use"),
+        CallError::Unreachable => not_run("the upstream cannot be reached"),
+        CallError::Lost => WireResult::Lost(wire::Lost {
+            reason: "the connection broke".into(),
+        }),
+    }
+}
+
+fn read_state(state: HeaderState) -> Option<UpstreamState> {
+    match state {
+        HeaderState::Absent => None,
+        HeaderState::Live => Some(UpstreamState::Live),
+        HeaderState::Cold => Some(UpstreamState::Cold),
+        HeaderState::Draining => Some(UpstreamState::Draining),
+    }
+}
+
+fn write_state(state: UpstreamState) -> HeaderState {
+    match state {
+        UpstreamState::Live => HeaderState::Live,
+        UpstreamState::Cold => HeaderState::Cold,
+        UpstreamState::Draining => HeaderState::Draining,
+    }
+}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,12 +10,19 @@
 use dropshot::HttpServer;
 use dropshot::ServerBuilder;
 use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use wire::peer_server::PeerServer;
 
 use crate::api::describe_api;
-use crate::control::follow_catalogue;
-use crate::control::follow_indexes;
+use crate::control;
+use crate::home;
 use crate::node::Node;
+use crate::peer::PeerService;
 use crate::settings::Settings;
 
 /// Time between two looks at the number of requests in progress during a shutdown.
@@ -37,6 +44,9 @@
     node: Arc<Node>,
     server: HttpServer<Arc<Node>>,
     tasks: JoinSet<()>,
+    peer: SocketAddr,
+    peer_stop: oneshot::Sender<()>,
+    peer_server: JoinHandle<()>,
 }
 
 impl std::fmt::Debug for Entry {
@@ -53,6 +63,11 @@
         self.server.local_addr()
     }
 
+    /// Returns the address for peers.
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.peer
+    }
+
     /// Returns the state shared by the tasks.
     pub fn node(&self) -> &Arc<Node> {
         &self.node
@@ -63,10 +78,15 @@
     pub async fn stop(mut self) -> Result<(), ServeError> {
         log::info!("entry: stopping; readiness is off");
         self.node.start_stopping();
+        self.node.leave();
         tokio::time::sleep(self.node.settings.notice).await;
         self.node.refuse_requests();
         self.wait_for_requests().await;
         self.tasks.shutdown().await;
+        let _ = self.peer_stop.send(());
+        // Calls that peers have under way end by their own deadlines.
+        let _ = tokio::time::timeout(MIN_DRAIN, &mut self.peer_server).await;
+        self.peer_server.abort();
         self.node.pool.close_idle();
         let closed = self.server.close().await;
         log::info!("entry: stopped");
@@ -101,7 +121,46 @@
 
 /// Starts an entry VM; `seed` starts its random generators.
 pub async fn start_entry(settings: Settings, seed: u64) -> Result<Entry, ServeError> {
-    let node = Arc::new(Node::new(settings, seed));
+    let listener = TcpListener::bind(settings.peer)
+        .await
+        .map_err(|error| bind_error(settings.peer, &error))?;
+    let peer = listener
+        .local_addr()
+        .map_err(|error| bind_error(settings.peer, &error))?;
+    let node = Arc::new(Node::new(settings, peer, seed));
+    let server = start_api(&node)?;
+    let (peer_stop, stopped) = oneshot::channel();
+    let peer_server = tokio::spawn(serve_peers(node.clone(), listener, stopped));
+    let mut tasks = JoinSet::new();
+    tasks.spawn(control::beat(node.clone()));
+    tasks.spawn(control::relay_configuration(node.clone()));
+    tasks.spawn(control::follow_indexes(node.clone()));
+    tasks.spawn(control::follow_list(node.clone()));
+    tasks.spawn(control::probe(node.clone()));
+    tasks.spawn(home::keep_time(node.clone()));
+    let (id, zone) = (&node.settings.node, &node.settings.zone);
+    log::info!(
+        "entry: {id} in zone {zone} serves callers on {} and peers on {peer}",
+        server.local_addr()
+    );
+    Ok(Entry {
+        node,
+        server,
+        tasks,
+        peer,
+        peer_stop,
+        peer_server,
+    })
+}
+
+fn bind_error(addr: SocketAddr, error: &dyn std::fmt::Display) -> ServeError {
+    ServeError {
+        code: Code::AddressInUse,
+        reason: format!("cannot listen on {addr}: {error}"),
+    }
+}
+
+fn start_api(node: &Arc<Node>) -> Result<HttpServer<Arc<Node>>, ServeError> {
     let config = ConfigDropshot {
         bind_address: node.settings.listen,
         default_request_body_max_bytes: node.settings.body_limit,
@@ -115,26 +174,21 @@
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let server = ServerBuilder::new(api, node.clone(), log)
         .config(config)
-        .start()
-        .map_err(|error| {
-            let reason = format!("cannot serve callers on {}: {error}", node.settings.listen);
-            ServeError {
-                code: Code::AddressInUse,
-                reason,
-            }
-        })?;
-    let mut tasks = JoinSet::new();
-    tasks.spawn(follow_catalogue(node.clone()));
-    tasks.spawn(follow_indexes(node.clone()));
-    log::info!(
-        "entry: {} in zone {} serves on {}",
-        node.settings.node,
-        node.settings.zone,
-        server.local_addr()
-    );
-    Ok(Entry {
-        node,
-        server,
-        tasks,
-    })
+        .start();
+    server.map_err(|error| bind_error(node.settings.listen, &error))
+}
+
+async fn serve_peers(node: Arc<Node>, listener: TcpListener, stopped: oneshot::Receiver<()>) {
+    let service = PeerServer::new(PeerService { node });
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let stop = async {
+        let _ = stopped.await;
+    };
+    let served = Server::builder()
+        .add_service(service)
+        .serve_with_incoming_shutdown(incoming, stop)
+        .await;
+    if let Err(error) = served {
+        log::error!("peer: the server for peers failed: {error}");
+    }
 }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -122,7 +122,7 @@
         self.platform.put_vm(Vm {
             id: node,
             role: VmRole::Entry,
-            addr: entry.addr(),
+            addr: entry.peer_addr(),
             zone,
             region,
             state: VmState::Live,
--- /dev/null
+++ b/crates/limpetwick/src/explain.rs
@@ -0,0 +1,118 @@
+//! Decodes explanation records for people, such as the monitor.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::path::Path;
+
+use query::Explanation;
+use serde_json::Value;
+
+/// Exit code when no record is found.
+pub const EXIT_INVALID: u8 = 2;
+
+/// Prints the explanation record in a file; `-` means standard input.
+///
+/// The file holds an answer with its record, a record alone, or a JSON log line with the record in `record`.
+pub fn explain_file(path: &Path, out: &mut impl Write) -> io::Result<u8> {
+    let text = read_text(path)?;
+    match find_record(&text) {
+        Some(record) => print_record(&record, out).map(|()| 0),
+        None => {
+            writeln!(
+                out,
+                "explain: {} holds no explanation record",
+                path.display()
+            )?;
+            Ok(EXIT_INVALID)
+        }
+    }
+}
+
+fn read_text(path: &Path) -> io::Result<String> {
+    if path == Path::new("-") {
+        let mut text = String::new();
+        io::stdin().read_to_string(&mut text)?;
+        return Ok(text);
+    }
+    std::fs::read_to_string(path)
+}
+
+fn find_record(text: &str) -> Option<Explanation> {
+    let value: Value = serde_json::from_str(text.trim()).ok()?;
+    let inner = value.get("explanation").cloned();
+    let logged = value
+        .get("record")
+        .and_then(Value::as_str)
+        .and_then(|text| serde_json::from_str(text).ok());
+    serde_json::from_value(inner.or(logged).unwrap_or(value)).ok()
+}
+
+fn print_record(record: &Explanation, out: &mut impl Write) -> io::Result<()> {
+    let coverage = &record.coverage;
+    writeln!(
+        out,
+        "query {} of {} ({})",
+        record.query, record.service, record.request
+    )?;
+    writeln!(
+        out,
+        "result: code {}, {}",
+        record.code.number(),
+        record.code.meaning()
+    )?;
+    writeln!(
+        out,
+        "configuration: revision {}{}",
+        record.revision,
+        describe_age(record.stale_ms)
+    )?;
+    match record.snapshot {
+        Some(snapshot) => writeln!(
+            out,
+            "snapshot: version {} of {} on shard map {}",
+            snapshot.version, record.index, snapshot.map
+        )?,
+        None => writeln!(out, "snapshot: none of {} was bound", record.index)?,
+    }
+    writeln!(
+        out,
+        "coverage: {} of {} shards, {} of {} members",
+        coverage.answered, coverage.shards, coverage.covered, coverage.members
+    )?;
+    for missing in &coverage.missing {
+        writeln!(
+            out,
+            "  shard {} is missing: {:?}, after {} attempts",
+            missing.shard, missing.reason, missing.attempts
+        )?;
+    }
+    writeln!(
+        out,
+        "attempts: {} sent, of these {} hedges and {} retries; {} cancelled, {} not run, {} lost, {} postponed",
+        record.attempts,
+        record.hedges,
+        record.retries,
+        record.cancelled,
+        record.not_run,
+        record.lost,
+        record.postponed
+    )?;
+    writeln!(
+        out,
+        "restarts: {}; parts dropped: {}",
+        record.restarts, record.dropped
+    )?;
+    writeln!(
+        out,
+        "time: {} of {} ms",
+        record.elapsed_ms, record.deadline_ms
+    )
+}
+
+fn describe_age(stale_ms: Option<u64>) -> String {
+    match stale_ms {
+        Some(age) => format!(", not confirmed for {age} ms"),
+        None => String::new(),
+    }
+}
--- a/crates/limpetwick/src/flags.rs
+++ b/crates/limpetwick/src/flags.rs
@@ -3,22 +3,30 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use compact_str::CompactString;
+
 xflags::xflags! {
     /// Query tier over many shards.
     cmd limpetwick {
-        /// Run an entry VM: limpetwick serve --settings entry.toml
+        /// Runs an entry VM.
+        ///
+        /// Example: limpetwick serve --settings entry.toml
         cmd serve {
             /// Settings file.
             required --settings path: PathBuf
         }
 
-        /// Check declaration files without a platform: limpetwick check examples/skiasis/*.toml
+        /// Checks declaration files without a platform.
+        ///
+        /// Example: limpetwick check examples/skiasis/*.toml
         cmd check {
             /// Declaration files.
             repeated files: PathBuf
         }
 
-        /// Put the declarations of a directory into force: limpetwick publish examples/skiasis --platform 127.0.0.1:9000
+        /// Puts the declarations of a directory into force.
+        ///
+        /// Example: limpetwick publish examples/skiasis --platform 127.0.0.1:9000 --entry 127.0.0.1:8080
         cmd publish {
             /// Directory with one TOML file per service.
             required dir: PathBuf
@@ -26,35 +34,46 @@
             required --platform addr: SocketAddr
             /// Entry VM that is asked where the revision is in force.
             optional --entry addr: SocketAddr
+            /// Published file to remove.
+            repeated --remove file: CompactString
             /// Revision that the files were based on; files changed since are refused.
             optional --base revision: u64
-            /// Show what would change, and publish nothing.
+            /// Shows what would change, and publishes nothing.
             optional --dry-run
-            /// Seconds to wait until the revision is in force everywhere.
+            /// Seconds to wait until the revision is in force everywhere; 30 when absent.
             optional --wait seconds: u64
         }
 
-        /// Show revisions, members, draining upstreams and latencies: limpetwick status --entry 127.0.0.1:8080
+        /// Shows revisions, members, draining upstreams and latencies.
+        ///
+        /// Example: limpetwick status --entry 127.0.0.1:8080
         cmd status {
             /// Entry VM to ask.
             required --entry addr: SocketAddr
+            /// Prints the JSON of the API.
+            optional --json
         }
 
-        /// Decode an explanation record from a file, or from standard input with `-`.
+        /// Decodes an explanation record.
+        ///
+        /// Example: limpetwick explain answer.json
         cmd explain {
-            /// File with an answer, an explanation record or a log line.
+            /// File with an answer or an explanation record; standard input when it is `-`.
             required file: PathBuf
         }
 
-        /// Run the whole path on embedded stand-ins and show what answers say when things fail.
+        /// Prints the OpenAPI description of the API for callers and operators.
+        cmd openapi {}
+
+        /// Runs the whole path on embedded stand-ins and shows what answers say when things fail.
         cmd demo {
-            /// Print one JSON object per answer.
+            /// Prints one JSON object per answer.
             optional --json
         }
 
         /// Stand-ins, load and experiments.
         cmd lab {
-            /// Serve the stand-in of the platform.
+            /// Serves the stand-in of the platform.
             cmd platform {
                 /// Address to serve on.
                 required --listen addr: SocketAddr
@@ -62,14 +81,36 @@
                 optional --lag-ms millis: u64
             }
 
-            /// Serve stand-ins of the upstreams of an example deployment, and register them with the platform.
+            /// Serves stand-ins of the upstreams of an example deployment, and registers its indexes with the platform.
             cmd upstreams {
                 /// Deployment: brunner-vaucher or skiasis.
                 required deployment: String
                 /// Address of the platform.
                 required --platform addr: SocketAddr
+                /// Address of the control port, which switches faults.
+                optional --control addr: SocketAddr
+                /// Seed of all random choices.
+                optional --seed seed: u64
+            }
+
+            /// Registers an entry VM in the platform's list, as a real platform does by itself.
+            cmd vm {
+                /// Settings file of the entry VM.
+                required --settings path: PathBuf
+                /// Marks the VM as leaving.
+                optional --leaving
+            }
+
+            /// Compares the full policy with plain baselines in virtual time.
+            cmd bench {
                 /// Seed of all random choices.
                 optional --seed seed: u64
+                /// Runs fewer queries.
+                optional --quick
+                /// File for the figures in JSON.
+                optional --json file: PathBuf
+                /// File for the report as one HTML page.
+                optional --html file: PathBuf
             }
         }
     }
--- a/crates/limpetwick/src/main.rs
+++ b/crates/limpetwick/src/main.rs
@@ -1,17 +1,37 @@
 //! Command line of the limpetwick query tier.
 
+#[allow(
+    missing_docs,
+    reason = "The macro documents the flags in the help text."
+)]
 mod flags;
 
+use std::io;
 use std::process::ExitCode;
 use std::time::Duration;
 
+use base::Vm;
+use base::VmRole;
+use base::VmState;
+use bytes::Bytes;
+use entry::Settings;
+use entry::describe_api;
 use entry::load_settings;
 use entry::start_entry;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::rt::TokioExecutor;
+use lab::bench;
 use lab::deploy::build_example;
 use lab::platform::serve_platform;
 use lab::rig::register_indexes;
 use lab::upstreams::Fleet;
 use lab::upstreams::Options;
+use limpetwick::check::check_files;
+use limpetwick::explain::explain_file;
+use limpetwick::publish::PublishArgs;
+use limpetwick::publish::run_publish;
+use limpetwick::status::show_status;
 use store::Client;
 use store::ClientOptions;
 
@@ -25,40 +45,60 @@
 /// Exit code of wrong flags or settings.
 const EXIT_USAGE: u8 = 2;
 
+/// Longest wait for a publish to be in force everywhere when no flag sets it.
+const PUBLISH_WAIT: Duration = Duration::from_secs(30);
+
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let flags = Limpetwick::from_env_or_exit();
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(error) => return fail(EXIT_FAILED, error),
+    let level = match flags.subcommand {
+        LimpetwickCmd::Serve(_) => "info",
+        _ => "warn",
     };
-    runtime.block_on(run(flags))
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level)).init();
+    match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on(run(flags)),
+        Err(error) => fail(EXIT_FAILED, error),
+    }
 }
 
 async fn run(flags: Limpetwick) -> ExitCode {
+    let mut out = io::stdout().lock();
     match flags.subcommand {
         LimpetwickCmd::Serve(args) => serve(args).await,
+        LimpetwickCmd::Check(args) => finish(check_files(&args.files, &mut out)),
+        LimpetwickCmd::Publish(args) => finish(run_publish(publish_args(args), &mut out).await),
+        LimpetwickCmd::Status(args) => finish(show_status(args.entry, args.json, &mut out).await),
+        LimpetwickCmd::Explain(args) => finish(explain_file(&args.file, &mut out)),
+        LimpetwickCmd::Openapi(_) => print_openapi(&mut out),
         LimpetwickCmd::Demo(args) => report(lab::demo::run_demo(args.json).await),
         LimpetwickCmd::Lab(lab) => match lab.subcommand {
             LabCmd::Platform(args) => platform(args).await,
             LabCmd::Upstreams(args) => upstreams(args).await,
+            LabCmd::Vm(args) => register_vm(args).await,
+            LabCmd::Bench(args) => run_bench(args),
         },
-        _ => todo!(),
+    }
+}
+
+fn publish_args(args: flags::Publish) -> PublishArgs {
+    PublishArgs {
+        dir: args.dir,
+        remove: args.remove,
+        platform: args.platform,
+        entry: args.entry,
+        base: args.base,
+        dry_run: args.dry_run,
+        wait: args.wait.map_or(PUBLISH_WAIT, Duration::from_secs),
+        seed: rand::random(),
     }
 }
 
 async fn serve(args: flags::Serve) -> ExitCode {
-    let settings = match load_settings(&args.settings) {
+    let settings = match read_settings(&args.settings) {
         Ok(settings) => settings,
-        Err(errors) => {
-            for error in errors {
-                eprintln!("settings: {error}");
-            }
-            return ExitCode::from(EXIT_USAGE);
-        }
+        Err(code) => return code,
     };
-    let seed = rand::random();
-    match start_entry(settings, seed).await {
+    match start_entry(settings, rand::random()).await {
         Ok(entry) => {
             wait_for_stop().await;
             report(entry.stop().await)
@@ -67,11 +107,32 @@
     }
 }
 
+fn read_settings(path: &std::path::Path) -> Result<Settings, ExitCode> {
+    load_settings(path).map_err(|errors| {
+        for error in errors {
+            eprintln!("settings: {error}");
+        }
+        ExitCode::from(EXIT_USAGE)
+    })
+}
+
+fn print_openapi(out: &mut impl io::Write) -> ExitCode {
+    match describe_api() {
+        Ok(api) => {
+            let version = env!("CARGO_PKG_VERSION")
+                .parse()
+                .expect("the version of the package is valid");
+            report(api.openapi("limpetwick", version).write(out))
+        }
+        Err(error) => fail(EXIT_FAILED, error),
+    }
+}
+
 async fn platform(args: flags::Platform) -> ExitCode {
     let lag = Duration::from_millis(args.lag_ms.unwrap_or(0));
     match serve_platform(args.listen, lag).await {
         Ok(platform) => {
-            println!("platform stand-in on {}", platform.addr());
+            println!("the platform stand-in serves on {}", platform.addr());
             wait_for_stop().await;
             report(platform.close().await)
         }
@@ -87,10 +148,11 @@
             format!("no example deployment is named {:?}", args.deployment),
         );
     };
+    let control = args.control.unwrap_or(([127, 0, 0, 1], 0).into());
     let options = Options {
         seed,
         delays: Default::default(),
-        control: ([127, 0, 0, 1], 0).into(),
+        control,
     };
     let fleet = match Fleet::start(&mut deployment, options).await {
         Ok(fleet) => fleet,
@@ -100,8 +162,8 @@
     if let Err(error) = register_indexes(&store, &deployment).await {
         return fail(EXIT_FAILED, error);
     }
-    println!(
-        "upstream stand-ins of {}, control on {}",
+    log::info!(
+        "lab: {} is registered, control is on {}",
         deployment.name,
         fleet.control()
     );
@@ -109,18 +171,77 @@
     ExitCode::SUCCESS
 }
 
+async fn register_vm(args: flags::Vm) -> ExitCode {
+    let settings = match read_settings(&args.settings) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    let vm = Vm {
+        id: settings.node.clone(),
+        role: VmRole::Entry,
+        addr: settings.peer,
+        zone: settings.zone,
+        region: settings.region,
+        state: if args.leaving {
+            VmState::Leaving
+        } else {
+            VmState::Live
+        },
+    };
+    let body = serde_json::to_vec(&vm).expect("a VM has string keys only");
+    let uri = format!("http://{}/vms/{}", settings.platform, settings.node);
+    let request = http::Request::put(uri)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)));
+    let client = HttpClient::builder(TokioExecutor::new()).build_http();
+    match request {
+        Ok(request) => match client.request(request).await {
+            Ok(response) if response.status().is_success() => ExitCode::SUCCESS,
+            Ok(response) => fail(
+                EXIT_FAILED,
+                format!("the platform replied {}", response.status()),
+            ),
+            Err(error) => fail(EXIT_FAILED, error),
+        },
+        Err(error) => fail(EXIT_FAILED, error),
+    }
+}
+
+fn run_bench(args: flags::Bench) -> ExitCode {
+    let options = bench::Options {
+        seed: args.seed.unwrap_or(1),
+        quick: args.quick,
+        json: args.json,
+        html: args.html,
+    };
+    match bench::run(&options) {
+        Ok(report) => {
+            println!("{report}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(EXIT_FAILED, error),
+    }
+}
+
 /// Waits for SIGTERM or an interrupt.
 async fn wait_for_stop() {
     use tokio::signal::unix::SignalKind;
     use tokio::signal::unix::signal;
 
-    let mut term = signal(SignalKind::terminate()).expect("a runtime with signal handling");
+    let mut term = signal(SignalKind::terminate()).expect("the runtime handles signals");
     tokio::select! {
         _ = term.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
     }
 }
 
+fn finish(result: io::Result<u8>) -> ExitCode {
+    match result {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => fail(EXIT_FAILED, error),
+    }
+}
+
 fn report<T, E: std::fmt::Display>(result: Result<T, E>) -> ExitCode {
     match result {
         Ok(_) => ExitCode::SUCCESS,
--- a/crates/limpetwick/tests/publish.rs
+++ b/crates/limpetwick/tests/publish.rs
@@ -1,10 +1,5 @@
 //! Checking and publishing of directories, against the stand-in of the platform over loopback.
 
-#[path = "../src/check.rs"]
-mod check;
-#[path = "../src/publish.rs"]
-mod publish;
-
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -21,9 +16,11 @@
 use lab::platform::FaultMode;
 use lab::platform::serve_platform;
 
-use crate::check::check_files;
-use crate::publish::PublishArgs;
-use crate::publish::run_publish;
+use limpetwick::check;
+use limpetwick::check::check_files;
+use limpetwick::publish;
+use limpetwick::publish::PublishArgs;
+use limpetwick::publish::run_publish;
 
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
--- /dev/null
+++ b/crates/member/src/spread.rs
@@ -0,0 +1,90 @@
+//! The changes that a node still repeats to its peers, freshest first.
+
+use std::collections::BTreeMap;
+
+use base::NodeId;
+use base::UpstreamId;
+
+use crate::timing::REPEATS;
+
+/// What has changed.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Item {
+    Upstream(UpstreamId),
+    Node(NodeId),
+    Report(UpstreamId, NodeId),
+}
+
+/// How soon a change has to spread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Urgency {
+    Report,
+    Ordinary,
+    /// An upstream or a VM is leaving; it is sent ahead of everything else.
+    Drain,
+}
+
+#[derive(Debug)]
+struct Pending {
+    urgency: Urgency,
+    sent: u32,
+    order: u64,
+}
+
+/// Changes that are repeated a bounded number of times; later ones replace earlier ones of the same subject.
+#[derive(Debug, Default)]
+pub(crate) struct Spread {
+    pending: BTreeMap<Item, Pending>,
+    order: u64,
+}
+
+impl Spread {
+    pub(crate) fn add(&mut self, item: Item, urgency: Urgency) {
+        self.order += 1;
+        let order = self.order;
+        self.pending.insert(
+            item,
+            Pending {
+                urgency,
+                sent: 0,
+                order,
+            },
+        );
+    }
+
+    /// Adds a change unless it is still being repeated.
+    pub(crate) fn add_missing(&mut self, item: Item, urgency: Urgency) {
+        if !self.pending.contains_key(&item) {
+            self.add(item, urgency);
+        }
+    }
+
+    /// Returns the pending changes: drains first, then those sent least often, then the newest.
+    pub(crate) fn ranked(&self, least: Urgency) -> Vec<Item> {
+        let mut ranked: Vec<(&Item, &Pending)> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.urgency >= least)
+            .collect();
+        ranked.sort_by_key(|(_, p)| (std::cmp::Reverse(p.urgency), p.sent, u64::MAX - p.order));
+        ranked.into_iter().map(|(item, _)| item.clone()).collect()
+    }
+
+    /// Records that a change was sent, and forgets it after the last repetition.
+    pub(crate) fn mark_sent(&mut self, item: &Item) {
+        if let Some(pending) = self.pending.get_mut(item) {
+            pending.sent += 1;
+            if pending.sent >= REPEATS {
+                self.pending.remove(item);
+            }
+        }
+    }
+
+    pub(crate) fn remove(&mut self, item: &Item) {
+        self.pending.remove(item);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.pending.len()
+    }
+}
--- a/crates/once/src/claimant.rs
+++ b/crates/once/src/claimant.rs
@@ -50,6 +50,8 @@
     AskLost(u32),
     /// The runtime is about to write the request to the upstream, with nothing between this and the write.
     Sending,
+    /// The attempt that was sent is proved not to have run, and another one may be sent under the same claim.
+    Unsent,
     /// Nothing was sent or the upstream proved that it didn't run the request; the code is what the caller gets.
     NotRun(Code),
     /// The upstream ran the request; its result as JSON text.
@@ -144,6 +146,11 @@
             }
             ClaimantEvent::Undelivered(_) | ClaimantEvent::AskLost(_) => {}
             ClaimantEvent::Sending => self.send(now, &mut actions),
+            ClaimantEvent::Unsent => {
+                if self.state == (State::Sent { answered: false }) {
+                    self.state = State::Granted;
+                }
+            }
             ClaimantEvent::NotRun(code) => self.not_run(code, now, &mut actions),
             ClaimantEvent::Replied(result) => self.replied(result, now, &mut actions),
             ClaimantEvent::ReplyLost => self.reply_lost(&mut actions),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -79,15 +79,24 @@
     #[prost(message, repeated, tag = "8")]
     pub bridges: ::prost::alloc::vec::Vec<NodeRecord>,
 }
-/// Heartbeat counters of VMs in the sender's zone, in two parallel lists.
+/// Heartbeat counters of VMs in the sender's zone, in parallel lists.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Pulses {
-    /// Low 32 bits of the hash of id and incarnation.
-    #[prost(fixed32, repeated, tag = "1")]
-    pub keys: ::prost::alloc::vec::Vec<u32>,
-    /// Distance of each counter behind `BeatMessage.clock`, at most 255.
+    /// Three bytes per VM, in network order: low 24 bits of the hash of id and incarnation.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub keys: ::prost::bytes::Bytes,
+    /// One byte per VM: distance of its counter behind `clock`, below 255.
     #[prost(bytes = "bytes", tag = "2")]
     pub lags: ::prost::bytes::Bytes,
+    /// One byte per VM: distance of its revision behind `newest`, 255 when it is not known. Empty when all are zero.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub behind: ::prost::bytes::Bytes,
+    /// Clock of the sender's zone.
+    #[prost(uint64, tag = "4")]
+    pub clock: u64,
+    /// Highest revision that the sender knows to be in force in its zone.
+    #[prost(uint64, tag = "5")]
+    pub newest: u64,
 }
 /// One heartbeat.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -98,7 +107,7 @@
     /// Clock of the sender's zone.
     #[prost(uint64, tag = "2")]
     pub clock: u64,
-    /// Absent between zones.
+    /// Absent between zones and in urgent heartbeats.
     #[prost(message, optional, tag = "3")]
     pub pulses: ::core::option::Option<Pulses>,
     /// Changed records first, then records in rotation.
@@ -110,19 +119,20 @@
     pub reports: ::prost::alloc::vec::Vec<FailureReport>,
     #[prost(message, repeated, tag = "7")]
     pub zones: ::prost::alloc::vec::Vec<ZoneSummary>,
+    /// Keys from earlier pulses for which the sender has no record; the reply carries the records.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub wanted: ::prost::alloc::vec::Vec<u32>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct BeatReply {}
-/// Upstreams whose replies said that they are leaving.
+/// Answer to a heartbeat.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct DrainNotice {
-    #[prost(string, tag = "1")]
-    pub sender: ::prost::alloc::string::String,
-    #[prost(message, repeated, tag = "2")]
-    pub upstreams: ::prost::alloc::vec::Vec<UpstreamRecord>,
+pub struct BeatReply {
+    /// Records that the sender wanted, and its own record when it is held to be dead.
+    #[prost(message, repeated, tag = "1")]
+    pub nodes: ::prost::alloc::vec::Vec<NodeRecord>,
+    /// Present when the heartbeat had pulses, so that one exchange informs both sides.
+    #[prost(message, optional, tag = "2")]
+    pub pulses: ::core::option::Option<Pulses>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct DrainReply {}
 /// One sub-request to one upstream for one shard.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Attempt {
@@ -225,188 +235,84 @@
         Refused(super::RefusedConnection),
     }
 }
+/// Withdraws attempts of a query; those that were sent are cancelled at their upstream.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CancelRequest {
-    #[prost(bytes = "bytes", tag = "1")]
-    pub query: ::prost::bytes::Bytes,
-    /// Attempts to withdraw; all of the query when empty.
-    #[prost(uint64, repeated, tag = "2")]
-    pub attempts: ::prost::alloc::vec::Vec<u64>,
-}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct CancelReply {
-    /// Attempts that were never sent to an upstream, and now never will be.
     #[prost(uint64, repeated, tag = "1")]
-    pub not_sent: ::prost::alloc::vec::Vec<u64>,
-}
-/// One entry of the catalogue.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct CatalogueEntry {
-    #[prost(string, tag = "1")]
-    pub service: ::prost::alloc::string::String,
-    #[prost(string, tag = "2")]
-    pub file: ::prost::alloc::string::String,
-    /// Revision that last changed the entry.
-    #[prost(uint64, tag = "3")]
-    pub changed: u64,
-    /// The declaration in JSON, as in the platform's object.
-    #[prost(bytes = "bytes", tag = "4")]
-    pub declaration: ::prost::bytes::Bytes,
-}
-/// Difference between two revisions of the catalogue.
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct CatalogueChange {
-    /// Revision that the change applies to; zero when `entries` is the whole catalogue.
-    #[prost(uint64, tag = "1")]
-    pub base: u64,
-    #[prost(uint64, tag = "2")]
-    pub revision: u64,
-    /// Identifies the publish that made the revision.
-    #[prost(string, tag = "3")]
-    pub publish: ::prost::alloc::string::String,
-    #[prost(message, repeated, tag = "4")]
-    pub entries: ::prost::alloc::vec::Vec<CatalogueEntry>,
-    /// Services that are no longer declared.
-    #[prost(string, repeated, tag = "5")]
-    pub removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    pub attempts: ::prost::alloc::vec::Vec<u64>,
 }
-/// How recently the sender knew from the platform that a revision is the newest.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Confirmation {
-    #[prost(uint64, tag = "1")]
-    pub revision: u64,
-    #[prost(uint64, tag = "2")]
-    pub age_ms: u64,
-}
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct OfferRequest {
-    #[prost(string, tag = "1")]
-    pub sender: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "2")]
-    pub revision: u64,
-    /// Absent when the receiver is expected to pull.
-    #[prost(message, optional, tag = "3")]
-    pub change: ::core::option::Option<CatalogueChange>,
-    /// Absent when the sender has not had a confirmation.
-    #[prost(message, optional, tag = "4")]
-    pub confirmation: ::core::option::Option<Confirmation>,
-}
+pub struct CancelReply {}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct OfferReply {
-    /// Revision in force on the receiver after the offer.
-    #[prost(uint64, tag = "1")]
-    pub revision: u64,
-    /// The receiver lacks the base of the change.
-    #[prost(bool, tag = "2")]
-    pub pull: bool,
-}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PullRequest {
-    #[prost(string, tag = "1")]
-    pub sender: ::prost::alloc::string::String,
     /// Revision in force on the sender; zero when it has none.
-    #[prost(uint64, tag = "2")]
+    #[prost(uint64, tag = "1")]
     pub since: u64,
 }
-#[derive(Clone, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PullReply {
-    /// Absent when the receiver has nothing newer.
-    #[prost(message, optional, tag = "1")]
-    pub change: ::core::option::Option<CatalogueChange>,
-    #[prost(message, optional, tag = "2")]
-    pub confirmation: ::core::option::Option<Confirmation>,
+    /// What the sender lacks, as JSON of `conf::Update`; empty when it lacks nothing.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub update: ::prost::bytes::Bytes,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NewClaim {}
+/// Outcome that is kept with a claim.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Settlement {
+    /// Number of the result code.
+    #[prost(uint32, tag = "1")]
+    pub code: u32,
+    /// Result of the run as received, in JSON.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub result: ::core::option::Option<::prost::bytes::Bytes>,
 }
-/// Identifies a request that runs at most once.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ClaimKey {
+pub struct ClaimRequest {
     #[prost(string, tag = "1")]
     pub service: ::prost::alloc::string::String,
     /// Idempotency key of the caller.
     #[prost(string, tag = "2")]
     pub key: ::prost::alloc::string::String,
-}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ClaimRequest {
-    #[prost(message, optional, tag = "1")]
-    pub key: ::core::option::Option<ClaimKey>,
-    /// Number of the ledger object.
-    #[prost(uint32, tag = "2")]
-    pub ledger: u32,
-    /// Node that will send the request.
-    #[prost(string, tag = "3")]
-    pub owner: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "4")]
-    pub incarnation: u64,
-    #[prost(uint64, tag = "5")]
+    /// Attempt that makes the claim, the only one that may send.
+    #[prost(uint64, tag = "3")]
     pub attempt: u64,
-    /// Hash of request name and body; the same key with another hash is refused.
-    #[prost(fixed64, tag = "6")]
-    pub fingerprint: u64,
-    /// Time until the moment after which the owner must not send.
-    #[prost(uint64, tag = "7")]
-    pub expires_ms: u64,
-    /// Time that the owner waits for the reply.
-    #[prost(uint64, tag = "8")]
-    pub deadline_ms: u64,
+    /// Digest of request name and body; the same key with another digest is refused.
+    #[prost(fixed64, tag = "4")]
+    pub digest: u64,
+    /// Time that the owner allows itself for sending.
+    #[prost(uint64, tag = "5")]
+    pub window_ms: u64,
+    /// Wall clock of the owner when it sent this message.
+    #[prost(uint64, tag = "6")]
+    pub sent_ms: u64,
+    #[prost(oneof = "claim_request::Operation", tags = "7, 8, 9")]
+    pub operation: ::core::option::Option<claim_request::Operation>,
 }
-/// Outcome that is kept with a claim.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Settlement {
-    /// Number of the result code.
-    #[prost(uint32, tag = "1")]
-    pub code: u32,
-    /// Result of the run as received, in JSON; empty when there is none.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub result: ::prost::bytes::Bytes,
+/// Nested message and enum types in `ClaimRequest`.
+pub mod claim_request {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Operation {
+        #[prost(message, tag = "7")]
+        Claim(super::NewClaim),
+        /// The request was not run and will not be; the number of the code that its caller gets.
+        #[prost(uint32, tag = "8")]
+        Revoke(u32),
+        #[prost(message, tag = "9")]
+        Settle(super::Settlement),
+    }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimReply {
     #[prost(enumeration = "ClaimStatus", tag = "1")]
     pub status: i32,
-    /// Attempt that holds the claim.
+    /// End of the send window of a granted claim, by the wall clock of the home.
     #[prost(uint64, tag = "2")]
-    pub attempt: u64,
+    pub deadline_ms: u64,
     /// Present when the status is settled.
     #[prost(message, optional, tag = "3")]
     pub settlement: ::core::option::Option<Settlement>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct RevokeRequest {
-    #[prost(message, optional, tag = "1")]
-    pub key: ::core::option::Option<ClaimKey>,
-    #[prost(uint32, tag = "2")]
-    pub ledger: u32,
-    #[prost(uint64, tag = "3")]
-    pub attempt: u64,
-    #[prost(uint64, tag = "4")]
-    pub deadline_ms: u64,
-}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct RevokeReply {
-    /// Revoked when "not run" may be reported.
-    #[prost(enumeration = "ClaimStatus", tag = "1")]
-    pub status: i32,
-    #[prost(message, optional, tag = "2")]
-    pub settlement: ::core::option::Option<Settlement>,
-}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SettleRequest {
-    #[prost(message, optional, tag = "1")]
-    pub key: ::core::option::Option<ClaimKey>,
-    #[prost(uint32, tag = "2")]
-    pub ledger: u32,
-    #[prost(uint64, tag = "3")]
-    pub attempt: u64,
-    #[prost(message, optional, tag = "4")]
-    pub settlement: ::core::option::Option<Settlement>,
-    #[prost(uint64, tag = "5")]
-    pub deadline_ms: u64,
-}
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SettleReply {
-    #[prost(enumeration = "ClaimStatus", tag = "1")]
-    pub status: i32,
-}
 /// State of an entry VM; a higher number replaces a lower one of the same incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -443,7 +349,6 @@
 pub enum UpstreamState {
     Live = 0,
     Draining = 1,
-    Gone = 2,
 }
 impl UpstreamState {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -454,7 +359,6 @@
         match self {
             Self::Live => "UPSTREAM_STATE_LIVE",
             Self::Draining => "UPSTREAM_STATE_DRAINING",
-            Self::Gone => "UPSTREAM_STATE_GONE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -462,7 +366,6 @@
         match value {
             "UPSTREAM_STATE_LIVE" => Some(Self::Live),
             "UPSTREAM_STATE_DRAINING" => Some(Self::Draining),
-            "UPSTREAM_STATE_GONE" => Some(Self::Gone),
             _ => None,
         }
     }
@@ -504,22 +407,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum ClaimStatus {
-    /// The ledger could not be read or written, and it is not known whether the claim is recorded.
-    Unknown = 0,
-    /// The claim is recorded; its owner may send.
+    /// An update was sent and its result could not be found out.
+    Unsure = 0,
+    /// The claim belongs to the sender's attempt and is open.
     Granted = 1,
-    /// Another attempt has claimed the key and has not settled.
-    Held = 2,
+    /// Another attempt holds the key, and its outcome is not known.
+    InProgress = 2,
     /// The request has ended; `settlement` has its outcome.
     Settled = 3,
-    /// The claim was revoked; nothing was sent under it.
-    Revoked = 4,
-    /// The key was used before with another request.
-    Reused = 5,
-    /// Nothing was written, because the platform is unavailable or the call budget is used up.
-    Refused = 6,
-    /// The receiver does not see itself as the home of the ledger.
-    NotHome = 7,
+    /// The key was used with another request.
+    Reused = 4,
+    /// The ledger has no room; nothing was written.
+    Full = 5,
+    /// The ledger has no such claim; nothing was written.
+    Missing = 6,
+    /// The platform cannot be used; nothing was written.
+    Unavailable = 7,
 }
 impl ClaimStatus {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -528,27 +431,27 @@
     /// (if the ProtoBuf definition does not change) and safe for programmatic use.
     pub fn as_str_name(&self) -> &'static str {
         match self {
-            Self::Unknown => "CLAIM_STATUS_UNKNOWN",
+            Self::Unsure => "CLAIM_STATUS_UNSURE",
             Self::Granted => "CLAIM_STATUS_GRANTED",
-            Self::Held => "CLAIM_STATUS_HELD",
+            Self::InProgress => "CLAIM_STATUS_IN_PROGRESS",
             Self::Settled => "CLAIM_STATUS_SETTLED",
-            Self::Revoked => "CLAIM_STATUS_REVOKED",
             Self::Reused => "CLAIM_STATUS_REUSED",
-            Self::Refused => "CLAIM_STATUS_REFUSED",
-            Self::NotHome => "CLAIM_STATUS_NOT_HOME",
+            Self::Full => "CLAIM_STATUS_FULL",
+            Self::Missing => "CLAIM_STATUS_MISSING",
+            Self::Unavailable => "CLAIM_STATUS_UNAVAILABLE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
     pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
         match value {
-            "CLAIM_STATUS_UNKNOWN" => Some(Self::Unknown),
+            "CLAIM_STATUS_UNSURE" => Some(Self::Unsure),
             "CLAIM_STATUS_GRANTED" => Some(Self::Granted),
-            "CLAIM_STATUS_HELD" => Some(Self::Held),
+            "CLAIM_STATUS_IN_PROGRESS" => Some(Self::InProgress),
             "CLAIM_STATUS_SETTLED" => Some(Self::Settled),
-            "CLAIM_STATUS_REVOKED" => Some(Self::Revoked),
             "CLAIM_STATUS_REUSED" => Some(Self::Reused),
-            "CLAIM_STATUS_REFUSED" => Some(Self::Refused),
-            "CLAIM_STATUS_NOT_HOME" => Some(Self::NotHome),
+            "CLAIM_STATUS_FULL" => Some(Self::Full),
+            "CLAIM_STATUS_MISSING" => Some(Self::Missing),
+            "CLAIM_STATUS_UNAVAILABLE" => Some(Self::Unavailable),
             _ => None,
         }
     }
@@ -645,7 +548,7 @@
             self.inner = self.inner.max_encoding_message_size(limit);
             self
         }
-        /// Exchanges membership; the reply is empty, because news travels with the receiver's own heartbeats.
+        /// Exchanges membership.
         pub async fn beat(
             &mut self,
             request: impl tonic::IntoRequest<super::BeatMessage>,
@@ -666,28 +569,6 @@
             req.extensions_mut().insert(GrpcMethod::new("limpetwick.peer.Peer", "Beat"));
             self.inner.unary(req, path, codec).await
         }
-        /// Tells at once that upstreams are leaving, without waiting for the next heartbeat.
-        pub async fn drain(
-            &mut self,
-            request: impl tonic::IntoRequest<super::DrainNotice>,
-        ) -> std::result::Result<tonic::Response<super::DrainReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
-            let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/limpetwick.peer.Peer/Drain",
-            );
-            let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("limpetwick.peer.Peer", "Drain"));
-            self.inner.unary(req, path, codec).await
-        }
         /// Asks a holder to send the attempts of one group; results arrive one by one, in any order.
         pub async fn scatter(
             &mut self,
@@ -735,28 +616,6 @@
                 .insert(GrpcMethod::new("limpetwick.peer.Peer", "Cancel"));
             self.inner.unary(req, path, codec).await
         }
-        /// Announces a configuration revision, with its changes when they are small.
-        pub async fn offer(
-            &mut self,
-            request: impl tonic::IntoRequest<super::OfferRequest>,
-        ) -> std::result::Result<tonic::Response<super::OfferReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
-            let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/limpetwick.peer.Peer/Offer",
-            );
-            let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("limpetwick.peer.Peer", "Offer"));
-            self.inner.unary(req, path, codec).await
-        }
         /// Asks for the configuration entries that changed since a revision.
         pub async fn pull(
             &mut self,
@@ -778,7 +637,7 @@
             req.extensions_mut().insert(GrpcMethod::new("limpetwick.peer.Peer", "Pull"));
             self.inner.unary(req, path, codec).await
         }
-        /// Asks the home of a ledger object to record a claim.
+        /// Asks the home of a ledger object to make, revoke or settle a claim.
         pub async fn claim(
             &mut self,
             request: impl tonic::IntoRequest<super::ClaimRequest>,
@@ -800,50 +659,6 @@
                 .insert(GrpcMethod::new("limpetwick.peer.Peer", "Claim"));
             self.inner.unary(req, path, codec).await
         }
-        /// Withdraws a claim whose request was not sent.
-        pub async fn revoke(
-            &mut self,
-            request: impl tonic::IntoRequest<super::RevokeRequest>,
-        ) -> std::result::Result<tonic::Response<super::RevokeReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
-            let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/limpetwick.peer.Peer/Revoke",
-            );
-            let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("limpetwick.peer.Peer", "Revoke"));
-            self.inner.unary(req, path, codec).await
-        }
-        /// Records the outcome of a claimed request.
-        pub async fn settle(
-            &mut self,
-            request: impl tonic::IntoRequest<super::SettleRequest>,
-        ) -> std::result::Result<tonic::Response<super::SettleReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
-            let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/limpetwick.peer.Peer/Settle",
-            );
-            let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("limpetwick.peer.Peer", "Settle"));
-            self.inner.unary(req, path, codec).await
-        }
     }
 }
 /// Generated server implementations.
@@ -859,16 +674,11 @@
     /// Generated trait containing gRPC methods that should be implemented for use with PeerServer.
     #[async_trait]
     pub trait Peer: std::marker::Send + std::marker::Sync + 'static {
-        /// Exchanges membership; the reply is empty, because news travels with the receiver's own heartbeats.
+        /// Exchanges membership.
         async fn beat(
             &self,
             request: tonic::Request<super::BeatMessage>,
         ) -> std::result::Result<tonic::Response<super::BeatReply>, tonic::Status>;
-        /// Tells at once that upstreams are leaving, without waiting for the next heartbeat.
-        async fn drain(
-            &self,
-            request: tonic::Request<super::DrainNotice>,
-        ) -> std::result::Result<tonic::Response<super::DrainReply>, tonic::Status>;
         /// Server streaming response type for the Scatter method.
         type ScatterStream: tonic::codegen::tokio_stream::Stream<
                 Item = std::result::Result<super::AttemptResult, tonic::Status>,
@@ -885,31 +695,16 @@
             &self,
             request: tonic::Request<super::CancelRequest>,
         ) -> std::result::Result<tonic::Response<super::CancelReply>, tonic::Status>;
-        /// Announces a configuration revision, with its changes when they are small.
-        async fn offer(
-            &self,
-            request: tonic::Request<super::OfferRequest>,
-        ) -> std::result::Result<tonic::Response<super::OfferReply>, tonic::Status>;
         /// Asks for the configuration entries that changed since a revision.
         async fn pull(
             &self,
             request: tonic::Request<super::PullRequest>,
         ) -> std::result::Result<tonic::Response<super::PullReply>, tonic::Status>;
-        /// Asks the home of a ledger object to record a claim.
+        /// Asks the home of a ledger object to make, revoke or settle a claim.
         async fn claim(
             &self,
             request: tonic::Request<super::ClaimRequest>,
         ) -> std::result::Result<tonic::Response<super::ClaimReply>, tonic::Status>;
-        /// Withdraws a claim whose request was not sent.
-        async fn revoke(
-            &self,
-            request: tonic::Request<super::RevokeRequest>,
-        ) -> std::result::Result<tonic::Response<super::RevokeReply>, tonic::Status>;
-        /// Records the outcome of a claimed request.
-        async fn settle(
-            &self,
-            request: tonic::Request<super::SettleRequest>,
-        ) -> std::result::Result<tonic::Response<super::SettleReply>, tonic::Status>;
     }
     /// What entry VMs ask of each other.
     #[derive(Debug)]
@@ -1031,49 +826,6 @@
                     };
                     Box::pin(fut)
                 }
-                "/limpetwick.peer.Peer/Drain" => {
-                    #[allow(non_camel_case_types)]
-                    struct DrainSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::DrainNotice>
-                    for DrainSvc<T> {
-                        type Response = super::DrainReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
-                        fn call(
-                            &mut self,
-                            request: tonic::Request<super::DrainNotice>,
-                        ) -> Self::Future {
-                            let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Peer>::drain(&inner, request).await
-                            };
-                            Box::pin(fut)
-                        }
-                    }
-                    let accept_compression_encodings = self.accept_compression_encodings;
-                    let send_compression_encodings = self.send_compression_encodings;
-                    let max_decoding_message_size = self.max_decoding_message_size;
-                    let max_encoding_message_size = self.max_encoding_message_size;
-                    let inner = self.inner.clone();
-                    let fut = async move {
-                        let method = DrainSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
-                        let mut grpc = tonic::server::Grpc::new(codec)
-                            .apply_compression_config(
-                                accept_compression_encodings,
-                                send_compression_encodings,
-                            )
-                            .apply_max_message_size_config(
-                                max_decoding_message_size,
-                                max_encoding_message_size,
-                            );
-                        let res = grpc.unary(method, req).await;
-                        Ok(res)
-                    };
-                    Box::pin(fut)
-                }
                 "/limpetwick.peer.Peer/Scatter" => {
                     #[allow(non_camel_case_types)]
                     struct ScatterSvc<T: Peer>(pub Arc<T>);
@@ -1163,49 +915,6 @@
                     };
                     Box::pin(fut)
                 }
-                "/limpetwick.peer.Peer/Offer" => {
-                    #[allow(non_camel_case_types)]
-                    struct OfferSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::OfferRequest>
-                    for OfferSvc<T> {
-                        type Response = super::OfferReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
-                        fn call(
-                            &mut self,
-                            request: tonic::Request<super::OfferRequest>,
-                        ) -> Self::Future {
-                            let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Peer>::offer(&inner, request).await
-                            };
-                            Box::pin(fut)
-                        }
-                    }
-                    let accept_compression_encodings = self.accept_compression_encodings;
-                    let send_compression_encodings = self.send_compression_encodings;
-                    let max_decoding_message_size = self.max_decoding_message_size;
-                    let max_encoding_message_size = self.max_encoding_message_size;
-                    let inner = self.inner.clone();
-                    let fut = async move {
-                        let method = OfferSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
-                        let mut grpc = tonic::server::Grpc::new(codec)
-                            .apply_compression_config(
-                                accept_compression_encodings,
-                                send_compression_encodings,
-                            )
-                            .apply_max_message_size_config(
-                                max_decoding_message_size,
-                                max_encoding_message_size,
-                            );
-                        let res = grpc.unary(method, req).await;
-                        Ok(res)
-                    };
-                    Box::pin(fut)
-                }
                 "/limpetwick.peer.Peer/Pull" => {
                     #[allow(non_camel_case_types)]
                     struct PullSvc<T: Peer>(pub Arc<T>);
@@ -1292,92 +1001,6 @@
                     };
                     Box::pin(fut)
                 }
-                "/limpetwick.peer.Peer/Revoke" => {
-                    #[allow(non_camel_case_types)]
-                    struct RevokeSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::RevokeRequest>
-                    for RevokeSvc<T> {
-                        type Response = super::RevokeReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
-                        fn call(
-                            &mut self,
-                            request: tonic::Request<super::RevokeRequest>,
-                        ) -> Self::Future {
-                            let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Peer>::revoke(&inner, request).await
-                            };
-                            Box::pin(fut)
-                        }
-                    }
-                    let accept_compression_encodings = self.accept_compression_encodings;
-                    let send_compression_encodings = self.send_compression_encodings;
-                    let max_decoding_message_size = self.max_decoding_message_size;
-                    let max_encoding_message_size = self.max_encoding_message_size;
-                    let inner = self.inner.clone();
-                    let fut = async move {
-                        let method = RevokeSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
-                        let mut grpc = tonic::server::Grpc::new(codec)
-                            .apply_compression_config(
-                                accept_compression_encodings,
-                                send_compression_encodings,
-                            )
-                            .apply_max_message_size_config(
-                                max_decoding_message_size,
-                                max_encoding_message_size,
-                            );
-                        let res = grpc.unary(method, req).await;
-                        Ok(res)
-                    };
-                    Box::pin(fut)
-                }
-                "/limpetwick.peer.Peer/Settle" => {
-                    #[allow(non_camel_case_types)]
-                    struct SettleSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::SettleRequest>
-                    for SettleSvc<T> {
-                        type Response = super::SettleReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
-                        fn call(
-                            &mut self,
-                            request: tonic::Request<super::SettleRequest>,
-                        ) -> Self::Future {
-                            let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Peer>::settle(&inner, request).await
-                            };
-                            Box::pin(fut)
-                        }
-                    }
-                    let accept_compression_encodings = self.accept_compression_encodings;
-                    let send_compression_encodings = self.send_compression_encodings;
-                    let max_decoding_message_size = self.max_decoding_message_size;
-                    let max_encoding_message_size = self.max_encoding_message_size;
-                    let inner = self.inner.clone();
-                    let fut = async move {
-                        let method = SettleSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
-                        let mut grpc = tonic::server::Grpc::new(codec)
-                            .apply_compression_config(
-                                accept_compression_encodings,
-                                send_compression_encodings,
-                            )
-                            .apply_max_message_size_config(
-                                max_decoding_message_size,
-                                max_encoding_message_size,
-                            );
-                        let res = grpc.unary(method, req).await;
-                        Ok(res)
-                    };
-                    Box::pin(fut)
-                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
