lab: add an open-loop load generator

A demo and a scenario need callers over sockets. lab::load sends requests to entry VMs at moments that the seed gives, measures latency from when each request was due, and counts outcomes, codes and errors by service.

--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,316 @@
+//! An open-loop load generator over HTTP against entry VMs.
+//!
+//! Requests are sent at the moments that the seed gives, whether or not earlier ones were answered, and latency counts
+//! from the moment at which a request was due. A closed loop would send less while the tier is slow, and so hide the
+//! very latencies that it looks for.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use base::ServiceName;
+use bytes::Bytes;
+use decl::Declaration;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use indicatif::ProgressBar;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_distr::Distribution;
+use rand_distr::Exp;
+use rand_pcg::Pcg64Mcg;
+use serde_json::Value;
+use serde_json::json;
+use snafu::Snafu;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::verdict::Verdict;
+use crate::verdict::judge_answer;
+
+/// Requests that may be outstanding; one more is counted as not sent, so that a tier that hangs cannot exhaust memory.
+const MAX_OUTSTANDING: usize = 20_000;
+
+/// Requests of one run, so that a mistaken rate or duration ends.
+const MAX_REQUESTS: u64 = 10_000_000;
+
+/// Time beyond the declared deadline after which a caller gives up.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Options of a run.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Addresses of the entry VMs, used at random as a load balancer does.
+    pub targets: Vec<SocketAddr>,
+    /// Services to call; each request that they declare is sent equally often within its service.
+    pub services: Vec<Declaration>,
+    /// Requests per second over all services.
+    pub rate: f64,
+    /// Time over which requests are sent.
+    pub duration: Duration,
+    /// Seed of the moments, targets, services and keys.
+    pub seed: u64,
+}
+
+/// Why a run cannot start.
+#[derive(Debug, Snafu)]
+pub enum LoadError {
+    /// Nothing to call.
+    #[snafu(display("load: no entry VM, or no service with a request, is given"))]
+    Nothing,
+    /// The rate is not usable.
+    #[snafu(display("load: {rate} requests per second is not a positive rate"))]
+    Rate {
+        /// The rate.
+        rate: f64,
+    },
+    /// The run would send too many requests.
+    #[snafu(display("load: the rate and duration give more than {MAX_REQUESTS} requests"))]
+    Size,
+}
+
+/// What callers of one service saw.
+#[derive(Debug, Clone)]
+pub struct ServiceLoad {
+    /// Latency in microseconds of every request with an answer, from the moment at which it was due.
+    pub latency: Histogram<u64>,
+    /// Answers by outcome.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Answers by result code.
+    pub codes: BTreeMap<u64, u64>,
+    /// Requests without a valid answer, by reason.
+    pub errors: BTreeMap<String, u64>,
+    /// Answers with a part that belongs to another request.
+    pub foreign: u64,
+    /// Answers with parts of more than one snapshot.
+    pub mixed: u64,
+    /// Members asked for and covered, over answered and partial outcomes.
+    pub members: (u64, u64),
+}
+
+impl ServiceLoad {
+    fn new() -> ServiceLoad {
+        ServiceLoad {
+            // Three significant digits are always valid for the crate.
+            latency: Histogram::new(3).expect("three digits are valid"),
+            outcomes: BTreeMap::new(),
+            codes: BTreeMap::new(),
+            errors: BTreeMap::new(),
+            foreign: 0,
+            mixed: 0,
+            members: (0, 0),
+        }
+    }
+
+    fn record(&mut self, result: Result<Verdict, String>, latency: Duration) {
+        let verdict = match result {
+            Ok(verdict) => verdict,
+            Err(reason) => {
+                *self.errors.entry(reason).or_default() += 1;
+                return;
+            }
+        };
+        self.latency.saturating_record(latency.as_micros() as u64);
+        *self.outcomes.entry(verdict.outcome).or_default() += 1;
+        *self.codes.entry(verdict.code).or_default() += 1;
+        self.foreign += u64::from(verdict.foreign);
+        self.mixed += u64::from(verdict.mixed);
+        self.members.0 += verdict.members.0;
+        self.members.1 += verdict.members.1;
+    }
+}
+
+/// What a run measured.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// Requests that were due.
+    pub due: u64,
+    /// Requests that were not sent because too many were outstanding.
+    pub unsent: u64,
+    /// Figures by service.
+    pub services: BTreeMap<ServiceName, ServiceLoad>,
+}
+
+impl Report {
+    /// Counts the answers that did not belong to their request or mixed snapshots.
+    pub fn violations(&self) -> u64 {
+        let services = self.services.values();
+        services.map(|load| load.foreign + load.mixed).sum()
+    }
+}
+
+impl Display for Report {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        writeln!(
+            f,
+            "{} requests due, {} not sent (latencies in ms)",
+            self.due, self.unsent
+        )?;
+        for (service, load) in &self.services {
+            let quantile = |quantile| load.latency.value_at_quantile(quantile) as f64 / 1000.0;
+            writeln!(
+                f,
+                "{service:<20} answers {:>7} p50 {:>7.1} p99 {:>7.1} p99.9 {:>7.1} coverage {:.6} wrong {} mixed {} \
+                 codes {:?} errors {:?}",
+                load.latency.len(),
+                quantile(0.5),
+                quantile(0.99),
+                quantile(0.999),
+                load.members.1 as f64 / load.members.0.max(1) as f64,
+                load.foreign,
+                load.mixed,
+                load.codes,
+                load.errors,
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// One request of a caller.
+struct Call {
+    target: SocketAddr,
+    service: ServiceName,
+    request: String,
+    key: String,
+    nonce: u64,
+    due: Instant,
+    timeout: Duration,
+}
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Sends requests at the given rate, and returns when every one is answered or given up.
+///
+/// # Errors
+///
+/// Returns an error when the options leave nothing to send, or too much.
+pub async fn run(options: &Options) -> Result<Report, LoadError> {
+    let gap = check_options(options)?;
+    let client: HttpClient = Client::builder(TokioExecutor::new()).build_http();
+    let report = Arc::new(Mutex::new(Report::default()));
+    let places = Arc::new(Semaphore::new(MAX_OUTSTANDING));
+    let bar = ProgressBar::new((options.rate * options.duration.as_secs_f64()) as u64);
+    let mut rng = Pcg64Mcg::seed_from_u64(options.seed);
+    let mut calls = JoinSet::new();
+    let start = Instant::now();
+    let mut due = start;
+    for nonce in 0..MAX_REQUESTS {
+        due += Duration::from_secs_f64(gap.sample(&mut rng));
+        if due >= start + options.duration {
+            break;
+        }
+        let call = draw_call(options, nonce, due, &mut rng);
+        tokio::time::sleep_until(due).await;
+        lock(&report).due += 1;
+        bar.inc(1);
+        while calls.try_join_next().is_some() {}
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            lock(&report).unsent += 1;
+            continue;
+        };
+        let (client, report) = (client.clone(), report.clone());
+        calls.spawn(async move {
+            let result = tokio::time::timeout(call.timeout + PATIENCE, send(&client, &call)).await;
+            let result = result.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+            let latency = call.due.elapsed();
+            let mut report = lock(&report);
+            let load = report.services.entry(call.service);
+            load.or_insert_with(ServiceLoad::new)
+                .record(result, latency);
+            drop(place);
+        });
+    }
+    while calls.join_next().await.is_some() {}
+    bar.finish_and_clear();
+    Ok(std::mem::take(&mut *lock(&report)))
+}
+
+fn lock(report: &Mutex<Report>) -> std::sync::MutexGuard<'_, Report> {
+    report.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn check_options(options: &Options) -> Result<Exp<f64>, LoadError> {
+    let callable = |service: &Declaration| !service.requests.is_empty();
+    if options.targets.is_empty()
+        || options.services.is_empty()
+        || !options.services.iter().all(callable)
+    {
+        return NothingSnafu.fail();
+    }
+    if options.rate * options.duration.as_secs_f64() > MAX_REQUESTS as f64 {
+        return SizeSnafu.fail();
+    }
+    let rate = options.rate;
+    match Exp::new(rate) {
+        Ok(gap) if rate > 0.0 => Ok(gap),
+        _ => RateSnafu { rate }.fail(),
+    }
+}
+
+fn draw_call(options: &Options, nonce: u64, due: Instant, rng: &mut Pcg64Mcg) -> Call {
+    let target = options.targets[rng.random_range(0..options.targets.len())];
+    let service = &options.services[rng.random_range(0..options.services.len())];
+    let request = &service.requests[rng.random_range(0..service.requests.len())];
+    Call {
+        target,
+        service: service.service.clone(),
+        request: request.name.to_string(),
+        key: format!("load-{}-{nonce}-{:08x}", options.seed, rng.random::<u32>()),
+        nonce,
+        due,
+        timeout: service.deadline,
+    }
+}
+
+async fn send(client: &HttpClient, call: &Call) -> Result<Verdict, String> {
+    let body = json!({
+        "body": { "nonce": call.nonce },
+        "explain": false,
+        "timeout_ms": call.timeout.as_millis() as u64,
+    });
+    let uri = format!(
+        "http://{}/v1/services/{}/requests/{}",
+        call.target, call.service, call.request
+    );
+    let request = Request::post(uri)
+        .header("content-type", "application/json")
+        .header("idempotency-key", &call.key)
+        .body(Full::new(Bytes::from(body.to_string())))
+        .map_err(|error| error.to_string())?;
+    let response = client.request(request).await.map_err(describe_error)?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), ANSWER_LIMIT);
+    let bytes = body
+        .collect()
+        .await
+        .map_err(|_| "the answer broke off".to_owned())?;
+    let invalid = |_| format!("status {status} without a valid answer");
+    let answer: Value = serde_json::from_slice(&bytes.to_bytes()).map_err(invalid)?;
+    judge_answer(&answer, call.nonce)
+        .ok_or_else(|| format!("status {status} without a result code"))
+}
+
+/// Names the kind of error only; addresses and ports would make every message different.
+fn describe_error(error: hyper_util::client::legacy::Error) -> String {
+    if error.is_connect() {
+        "no connection".to_owned()
+    } else {
+        "the connection broke".to_owned()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/verdict.rs
@@ -0,0 +1,72 @@
+//! What a caller can check about an answer: that it belongs to its own request and comes from one snapshot.
+
+use std::collections::BTreeSet;
+
+use serde_json::Value;
+
+/// The checked contents of an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Verdict {
+    /// Outcome, such as `answered`.
+    pub outcome: String,
+    /// Result code.
+    pub code: u64,
+    /// Whether a part repeats another request than the caller's, or none.
+    pub foreign: bool,
+    /// Whether the parts come from more than one snapshot.
+    pub mixed: bool,
+    /// Members asked for and covered; zero for refused and unknown outcomes.
+    pub members: (u64, u64),
+}
+
+/// Checks an answer against the nonce in the caller's request body; `None` if it has no result code.
+///
+/// Upstreams repeat the request body under `echo` in their items.
+pub fn judge_answer(answer: &Value, nonce: u64) -> Option<Verdict> {
+    let code = answer.get("code")?.as_u64()?;
+    let outcome = answer.get("outcome")?.as_str()?.to_owned();
+    let parts = answer.get("parts").and_then(Value::as_array);
+    let parts = parts.map(Vec::as_slice).unwrap_or_default();
+    let own = |part: &Value| {
+        let mut echoes = Vec::new();
+        collect_echoes(part, &mut echoes);
+        !echoes.is_empty()
+            && echoes
+                .iter()
+                .all(|echo| echo["nonce"].as_u64() == Some(nonce))
+    };
+    let snapshots: BTreeSet<_> = parts
+        .iter()
+        .map(|part| (part["version"].as_u64(), part["map"].as_u64()))
+        .collect();
+    let given = matches!(outcome.as_str(), "answered" | "partial");
+    let count = |key: &str| answer["coverage"][key].as_u64().unwrap_or(0);
+    let members = if given {
+        (count("members"), count("covered"))
+    } else {
+        (0, 0)
+    };
+    Some(Verdict {
+        outcome,
+        code,
+        foreign: !parts.iter().all(own),
+        mixed: snapshots.len() > 1,
+        members,
+    })
+}
+
+fn collect_echoes<'a>(value: &'a Value, echoes: &mut Vec<&'a Value>) {
+    match value {
+        Value::Array(items) => items.iter().for_each(|item| collect_echoes(item, echoes)),
+        Value::Object(fields) => {
+            for (name, field) in fields {
+                if name == "echo" {
+                    echoes.push(field);
+                } else {
+                    collect_echoes(field, echoes);
+                }
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/load.rs
@@ -0,0 +1,131 @@
+//! Checks of the load generator: it must see what goes wrong, or a demo would pass a broken tier.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use lab::examples::parse_declarations;
+use lab::load::LoadError;
+use lab::load::Options;
+use lab::load::run;
+use lab::verdict::judge_answer;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+/// Answers every fifth request with the nonce of another request, and breaks every seventh connection.
+async fn respond(
+    request: Request<Incoming>,
+    count: Arc<AtomicU64>,
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    assert!(request.headers().contains_key("idempotency-key"));
+    let body = request.into_body().collect().await.unwrap().to_bytes();
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    let number = count.fetch_add(1, Ordering::Relaxed);
+    if number % 7 == 6 {
+        return Err(std::io::Error::other("broken on purpose"));
+    }
+    let nonce = body["body"]["nonce"].as_u64().unwrap() + u64::from(number % 5 == 4);
+    let answer = json!({
+        "outcome": "answered", "code": 100, "coverage": { "members": 4, "covered": 3 },
+        "parts": [{ "shard": 0, "version": 1, "map": 1, "items": [{ "echo": { "nonce": nonce } }] }],
+    });
+    Ok(Response::new(Full::new(Bytes::from(answer.to_string()))))
+}
+
+async fn start_entry() -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicU64::new(0));
+    let served = count.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let count = served.clone();
+            let service = service_fn(move |request| respond(request, count.clone()));
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+        Ok::<(), Infallible>(())
+    });
+    (addr, count)
+}
+
+fn options(target: SocketAddr) -> Options {
+    Options {
+        targets: vec![target],
+        services: parse_declarations("skiasis").unwrap(),
+        rate: 400.0,
+        duration: Duration::from_millis(500),
+        seed: 9,
+    }
+}
+
+/// Guards against answers that are not counted, and against a wrong answer that is taken for a right one.
+#[rstest]
+#[tokio::test]
+async fn every_request_is_counted_once() {
+    let (addr, count) = start_entry().await;
+    let report = run(&options(addr)).await.unwrap();
+    let services = || report.services.values();
+    let answers: u64 = services().map(|load| load.latency.len()).sum();
+    let errors: u64 = services().flat_map(|load| load.errors.values()).sum();
+    assert_eq!(answers + errors + report.unsent, report.due);
+    let served = count.load(Ordering::Relaxed);
+    let wrong = (0..served)
+        .filter(|number| number % 5 == 4 && number % 7 != 6)
+        .count();
+    assert_eq!(report.violations(), wrong as u64);
+    assert_eq!(answers, served - served / 7);
+}
+
+/// Guards against a request count or mix that depends on more than the seed.
+#[rstest]
+#[tokio::test]
+async fn the_seed_decides_what_is_sent() {
+    let (addr, _) = start_entry().await;
+    let first = run(&options(addr)).await.unwrap();
+    let second = run(&options(addr)).await.unwrap();
+    assert_eq!(first.due, second.due);
+    let names =
+        |report: &lab::load::Report| -> Vec<_> { report.services.keys().cloned().collect() };
+    assert_eq!(names(&first), names(&second));
+}
+
+/// Guards against options that would send nothing, or never end.
+#[rstest]
+#[case::no_rate(0.0, 1)]
+#[case::too_much(1e6, 3600)]
+#[tokio::test]
+async fn unusable_options_are_refused(#[case] rate: f64, #[case] secs: u64) {
+    let mut options = options(SocketAddr::from(([127, 0, 0, 1], 1)));
+    options.rate = rate;
+    options.duration = Duration::from_secs(secs);
+    let error = run(&options).await.unwrap_err();
+    assert!(matches!(error, LoadError::Rate { .. } | LoadError::Size));
+}
+
+/// Guards against parts without a trace of the request, and parts of two snapshots.
+#[rstest]
+#[case::own(json!([{ "version": 1, "map": 1, "items": [{ "echo": { "nonce": 3 } }] }]), (false, false))]
+#[case::silent(json!([{ "version": 1, "map": 1, "items": [] }]), (true, false))]
+#[case::mixed(json!([
+    { "version": 1, "map": 1, "items": [{ "echo": { "nonce": 3 } }] },
+    { "version": 2, "map": 1, "items": [{ "echo": { "nonce": 3 } }] },
+]), (false, true))]
+fn parts_are_judged(#[case] parts: Value, #[case] expected: (bool, bool)) {
+    let answer = json!({ "outcome": "answered", "code": 100, "parts": parts });
+    let verdict = judge_answer(&answer, 3).unwrap();
+    assert_eq!((verdict.foreign, verdict.mixed), expected);
+}
