--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -313,11 +313,11 @@
         self.last_reply = Some(now);
     }
 
-    /// Counts an abandoned attempt as slow as it was when abandoned, if that is slower than usual.
+    /// Counts an abandoned attempt as slow as it was when abandoned, unless that is faster than usual.
     ///
     /// Without it, the slow replies that a hedge replaces would never reach the quantiles, which would drift down.
     fn note_lower_bound(&mut self, time: Duration, now: Instant) {
-        if time.as_micros() as f32 > self.mean_us {
+        if time.as_micros() as f32 >= self.mean_us {
             self.latency.record(time);
             self.note_mean(time, now);
         }
