lab: label every condition in the plot of p99

plotters chose a label for every second condition only. The names now stand in a row above the bars.

The page was checked for one label per condition in the SVG text, not by eye.

--- a/crates/lab/src/bench/html.rs
+++ b/crates/lab/src/bench/html.rs
@@ -10,6 +10,7 @@
 use plotters::prelude::RGBColor;
 use plotters::prelude::Rectangle;
 use plotters::prelude::SVGBackend;
+use plotters::prelude::Text;
 use plotters::prelude::WHITE;
 
 use crate::bench::BenchError;
@@ -21,6 +22,9 @@
 /// Size of a plot in pixels.
 const SIZE: (u32, u32) = (900, 320);
 
+/// Height of the row of labels, relative to the highest bar.
+const LABEL_ROW: f64 = 1.12;
+
 /// Colour of the ideal bound.
 const IDEAL: RGBColor = RGBColor(120, 120, 120);
 
@@ -142,17 +146,21 @@
             .margin(8)
             .x_label_area_size(30)
             .y_label_area_size(50)
-            .build_cartesian_2d(0.0..Condition::ALL.len() as f64, 0.0..highest * 1.05)?;
-        let name = |at: &f64| {
-            let condition = Condition::ALL.get(at.floor() as usize);
-            condition.map_or(String::new(), |condition| condition.name().to_owned())
-        };
+            .build_cartesian_2d(
+                0.0..Condition::ALL.len() as f64,
+                0.0..highest * (LABEL_ROW + 0.02),
+            )?;
         chart
             .configure_mesh()
             .disable_x_mesh()
-            .x_labels(Condition::ALL.len())
-            .x_label_formatter(&name)
+            .x_labels(0)
+            .y_desc("p99 in ms")
             .draw()?;
+        let labels = Condition::ALL.iter().enumerate().map(|(at, condition)| {
+            let place = (at as f64 + 0.05, highest * LABEL_ROW);
+            Text::new(condition.name(), place, ("sans-serif", 10))
+        });
+        chart.draw_series(labels)?;
         for case in cases {
             let at = Condition::ALL
                 .iter()
