Refuse late revocations of requests that run at most once

A claimant now notices the time before it acts on a verdict, and reports "not run" only until its deadline, and for at most 80 s, by the clock of its VM that shows more. A home refuses revocations as well as claims that are older than 30 s when the key has no claim.

--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -171,7 +171,7 @@
     pub spec: ClaimSpec,
     /// What to do with it.
     pub operation: Operation,
-    /// Wall clock of the requester when it sent this; a home refuses a claim that is older than the largest skew.
+    /// Wall clock of the requester when it sent this; a home refuses one that is older than the largest skew.
     pub sent_ms: u64,
 }
 
--- a/crates/once/src/claimant.rs
+++ b/crates/once/src/claimant.rs
@@ -25,6 +25,12 @@
 /// The rest is kept for a revocation, so that a caller whose request was not sent in time is told so by its deadline.
 const WINDOW_QUARTERS: u32 = 3;
 
+/// Longest time after the start in which a caller may be told that its request was not run.
+///
+/// A revocation that is delayed until the claim of another call with the key has run, settled and expired would find
+/// no claim. The default retention exceeds this by more than the largest skew.
+const MAX_REFUSAL: Duration = Duration::from_secs(80);
+
 /// Time after the deadline for which a settlement or revocation is still tried; the caller has its answer by then.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -102,6 +108,8 @@
     terms: Terms,
     state: State,
     started: Option<Moment>,
+    /// Time from the start to the deadline.
+    limit: Duration,
     /// Number of the last request to the home.
     asked: u32,
     asked_at: Option<Instant>,
@@ -118,6 +126,7 @@
             terms,
             state: State::New,
             started: None,
+            limit: Duration::ZERO,
             asked: 0,
             asked_at: None,
             outstanding: false,
@@ -133,6 +142,8 @@
     /// Advances the state machine by one event.
     pub fn handle(&mut self, event: ClaimantEvent, now: Moment) -> Vec<ClaimantAction> {
         let mut actions = Vec::new();
+        // A process that was paused must not act on a verdict before it has noticed the time.
+        self.check_time(now, &mut actions);
         match event {
             ClaimantEvent::Start => self.start(now, &mut actions),
             ClaimantEvent::Verdict(verdict) => self.receive(verdict, now, &mut actions),
@@ -150,6 +161,7 @@
             ClaimantEvent::Wake => {}
         }
         self.check_time(now, &mut actions);
+        actions.extend(self.next_wake().map(ClaimantAction::WakeAt));
         actions
     }
 
@@ -157,8 +169,8 @@
         if self.state != State::New {
             return;
         }
-        let left = self.terms.deadline.saturating_duration_since(now.instant);
-        let window = left * WINDOW_QUARTERS / 4;
+        self.limit = self.terms.deadline.saturating_duration_since(now.instant);
+        let window = self.limit * WINDOW_QUARTERS / 4;
         self.terms.spec.window_ms = window.min(MAX_WINDOW).as_millis() as u64;
         self.started = Some(now);
         self.state = State::Claiming;
@@ -170,17 +182,22 @@
         }
     }
 
-    /// Says whether the request may still be sent, by both clocks of this VM.
+    /// Returns the time since the start, by the clock of this VM that shows more.
     ///
-    /// The monotonic clock may stand still while a VM is suspended, and the wall clock may be set back; the window is
-    /// open only while neither has passed it.
+    /// The monotonic clock may stand still while a VM is suspended, and the wall clock may be set back.
+    fn elapsed(&self, now: Moment) -> Duration {
+        let Some(started) = self.started else {
+            return Duration::ZERO;
+        };
+        let wall_ms = now.wall_ms.saturating_sub(started.wall_ms);
+        now.instant
+            .saturating_duration_since(started.instant)
+            .max(Duration::from_millis(wall_ms))
+    }
+
+    /// Says whether the request may still be sent.
     fn window_open(&self, now: Moment) -> bool {
-        let window_ms = self.terms.spec.window_ms;
-        self.started.is_some_and(|started| {
-            let elapsed = now.instant.saturating_duration_since(started.instant);
-            elapsed.as_millis() < u128::from(window_ms)
-                && now.wall_ms < started.wall_ms.saturating_add(window_ms)
-        })
+        self.elapsed(now) < Duration::from_millis(self.terms.spec.window_ms)
     }
 
     /// Sends the request to the home that the state calls for.
@@ -329,11 +346,10 @@
         actions.push(ClaimantAction::Finish(end));
     }
 
-    /// Acts on the passing of time, and asks to be woken for the next moment that matters.
+    /// Acts on the passing of time.
     fn check_time(&mut self, now: Moment, actions: &mut Vec<ClaimantAction>) {
         let closed = !self.window_open(now);
-        let overdue = now.instant >= self.terms.deadline;
-        let abandoned = now.instant >= self.terms.deadline + SETTLE_PATIENCE;
+        let elapsed = self.elapsed(now);
         match self.state {
             State::Claiming if closed && !self.unsure && !self.outstanding => {
                 self.finish(Settlement::bare(Code::ClaimUnavailable), actions);
@@ -342,14 +358,14 @@
             State::Claiming | State::Granted if closed => {
                 self.revoke(Code::ClaimRevoked, false, now, actions);
             }
-            State::Sent { .. } if overdue => self.reply_lost(actions),
+            State::Sent { .. } if elapsed >= self.limit => self.reply_lost(actions),
             _ => {}
         }
         if let State::Revoking {
             code,
             answered: false,
         } = self.state
-            && overdue
+            && elapsed >= self.limit.min(MAX_REFUSAL)
         {
             // The revocation goes on, so that a retry is not told that the request is in progress.
             self.finish(Settlement::bare(Code::ClaimUnsettled), actions);
@@ -358,6 +374,7 @@
                 answered: true,
             };
         }
+        let abandoned = elapsed >= self.limit + SETTLE_PATIENCE;
         if abandoned && matches!(self.state, State::Revoking { .. } | State::Settling(_)) {
             self.state = State::Done;
         }
@@ -369,7 +386,6 @@
             self.unsure |= self.outstanding;
             self.ask(now, actions);
         }
-        actions.extend(self.next_wake().map(ClaimantAction::WakeAt));
     }
 
     /// Returns whether the state waits for an answer of the home.
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -35,8 +35,8 @@
 /// How long claims are kept after the end of their send window, by the clock of the VM that expires them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Retention {
-    /// Milliseconds for a claim with an outcome; a caller's retry must start at least [`MAX_SKEW_MS`] and one send
-    /// window before this has passed.
+    /// Milliseconds for a claim with an outcome. Every call with the key must end at least [`MAX_SKEW_MS`] before this
+    /// has passed, so a caller's retries have two minutes by default.
     pub settled_ms: u64,
     /// Milliseconds for a claim without an outcome. Its owner may be paused between its last check and the write to
     /// the socket, which no check can exclude, so this is far longer than a VM is paused and then still used.
@@ -118,6 +118,11 @@
         self.claims.is_empty()
     }
 
+    /// Returns the claims, ascending by key.
+    pub fn claims(&self) -> &[Claim] {
+        &self.claims
+    }
+
     /// Returns an upper bound of the size in bytes of JSON.
     pub fn size(&self) -> usize {
         FRAME_BYTES + self.claim_bytes
--- a/crates/once/src/slot.rs
+++ b/crates/once/src/slot.rs
@@ -181,14 +181,15 @@
     matches!(pending.request.operation, Operation::Settle(_))
 }
 
-/// Applies a request, unless it is a claim that is too old to be acted on.
+/// Applies a request, unless it is too old to be acted on.
 ///
-/// A copy that was delayed for longer than the skew may come after its claim has expired.
+/// A claim or revocation that was delayed for longer than the skew may find no claim because another one with the key
+/// has run and expired.
 fn apply_pending(ledger: &mut Ledger, pending: &Pending, wall_ms: u64) -> (Verdict, bool) {
     let request = &pending.request;
     let stale = wall_ms.abs_diff(request.sent_ms) > MAX_SKEW_MS;
     let absent = ledger.lookup(&request.spec.key).is_none();
-    if stale && absent && request.operation == Operation::Claim {
+    if stale && absent && !is_settlement(pending) {
         return (refusal(pending), false);
     }
     let transition = ledger.apply(request, wall_ms);
--- a/crates/once/tests/protocol/claimant.rs
+++ b/crates/once/tests/protocol/claimant.rs
@@ -18,7 +18,7 @@
 
 const GRANTED: Verdict = Verdict::Granted { deadline_ms: 0 };
 
-/// A claimant of a request that may take a second, and what it did.
+/// A claimant and what it did.
 struct Rig {
     clock: Clock,
     claimant: Claimant,
@@ -29,10 +29,14 @@
 
 impl Rig {
     fn started() -> Rig {
+        Rig::with_deadline(1)
+    }
+
+    fn with_deadline(seconds: u64) -> Rig {
         let clock = Clock::start();
         let terms = Terms {
             spec: spec("k", 1),
-            deadline: clock.now().instant + Duration::from_secs(1),
+            deadline: clock.now().instant + Duration::from_secs(seconds),
         };
         let mut rig = Rig {
             clock,
@@ -193,6 +197,35 @@
     assert_eq!(rig.codes(), [Code::ClaimUnsettled]);
 }
 
+/// Guards against "not run" by a process that was paused: by the time that its revocation is acted on, the claim of
+/// another call may have run and expired.
+#[rstest]
+#[case::in_time(200, 0, Code::ClaimRevoked)]
+#[case::monotonic_clock(250, 0, Code::ClaimUnsettled)]
+#[case::wall_clock(0, 250, Code::ClaimUnsettled)]
+fn a_late_revocation_is_not_reported(#[case] ms: u64, #[case] wall_ms: u64, #[case] code: Code) {
+    let mut rig = Rig::started();
+    rig.wake_after(750);
+    rig.clock.elapsed_ms += ms;
+    rig.clock.wall_ahead_ms += wall_ms;
+    let revoked = Verdict::Settled(Settlement::bare(Code::ClaimRevoked));
+    rig.handle(ClaimantEvent::Verdict(revoked));
+    assert_eq!(rig.codes(), [code]);
+}
+
+/// Guards against a long deadline, during which the claim of another call may run, settle and expire.
+#[rstest]
+fn a_long_deadline_does_not_prolong_a_refusal() {
+    let mut rig = Rig::with_deadline(600);
+    rig.wake_after(60_000);
+    assert_eq!(
+        rig.asked.last(),
+        Some(&Operation::Revoke(Code::ClaimRevoked))
+    );
+    rig.wake_after(20_000);
+    assert_eq!(rig.codes(), [Code::ClaimUnsettled]);
+}
+
 /// Guards against a refusal that a retry contradicts: the proof of the upstream is written before the caller is told.
 #[rstest]
 fn a_proof_of_not_run_is_recorded_before_the_answer() {
--- a/crates/once/tests/protocol/home.rs
+++ b/crates/once/tests/protocol/home.rs
@@ -198,17 +198,23 @@
     assert!(fleet.granted(2));
 }
 
-/// Guards against a claim request that was delayed until its key was expired, and a clock that is wrong by far.
+/// Guards against a request that was delayed until another claim of the key had expired, and a clock that is far off.
 #[rstest]
-#[case::in_time(30_000, true)]
-#[case::too_late(30_001, false)]
-fn a_claim_request_that_is_too_old_is_refused(#[case] ahead_ms: u64, #[case] granted: bool) {
+#[case::claim_in_time(CLAIM, 30_000, true)]
+#[case::claim_too_late(CLAIM, 30_001, false)]
+#[case::revocation_in_time(Operation::Revoke(Code::ClaimRevoked), 30_000, true)]
+#[case::revocation_too_late(Operation::Revoke(Code::ClaimRevoked), 30_001, false)]
+fn a_request_that_is_too_old_is_refused(
+    #[case] operation: Operation,
+    #[case] ahead_ms: u64,
+    #[case] written: bool,
+) {
     let mut fleet = Fleet::new(1);
-    fleet.ask(0, 1, &spec("k", 1), CLAIM);
+    fleet.ask(0, 1, &spec("k", 1), operation);
     fleet.clock.wall_ahead_ms = ahead_ms;
     fleet.run(1_000);
-    assert_eq!(fleet.granted(1), granted);
-    assert_eq!(fleet.reply(1) == Some(&Verdict::Unavailable), !granted);
+    assert_eq!(fleet.value(spec("k", 1).key.ledger()).is_empty(), !written);
+    assert_eq!(fleet.reply(1) == Some(&Verdict::Unavailable), !written);
 }
 
 /// Guards against one write for each claim: requests that arrive during a write share the next one.
