--- a/crates/lab/src/http_upstream.rs
+++ b/crates/lab/src/http_upstream.rs
@@ -37,7 +37,10 @@
     let zone = request.headers().get(HEADER_ZONE);
     let delay = host.delay_from(zone.and_then(|zone| zone.to_str().ok()));
     pause(delay).await;
-    let answer = route(host, request).await;
+    let mut answer = route(host, request).await;
+    if !answer.headers().contains_key(HEADER_STATE) {
+        answer = with_state(answer, current_state(host));
+    }
     pause(delay).await;
     answer
 }
--- a/crates/lab/tests/upstreams.rs
+++ b/crates/lab/tests/upstreams.rs
@@ -91,6 +91,13 @@
     assert_eq!(retired.status(), 410);
     assert_eq!(retired.headers()["x-not-run"], "1");
 
+    let invalid = send(&mut sender, "/v1/query", Some(json!({})))
+        .await
+        .unwrap();
+    assert_eq!(invalid.status(), 400);
+    assert_eq!(invalid.headers()["x-state"], "live");
+    assert_eq!(invalid.headers()["x-not-run"], "1");
+
     let mut control = connect(fleet.control()).await;
     let fault = json!({ "servers": [upstream.id], "fault": { "fault": "drain" } });
     let accepted = send(&mut control, "/control/fault", Some(fault))
