limpetwick: test separate processes that are stopped, killed and frozen

The scenarios run state machines in one process, so they cannot show that the binary itself loses no request on SIGTERM or runs none twice after a kill. Four tests start platform, upstreams and three entry VMs and check codes and the runs counted at the upstreams, never elapsed time.

--- /dev/null
+++ b/crates/limpetwick/tests/fleet/mod.rs
@@ -0,0 +1,250 @@
+//! A deployment of separate processes on loopback.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::Value;
+use serde_json::json;
+
+/// Bound on waiting for a state that must come; only a broken build reaches it.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+const BINARY: &str = env!("CARGO_BIN_EXE_limpetwick");
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+const ZONES: [&str; 3] = ["zurich", "lausanne", "lugano"];
+
+/// A process that is killed when the test ends.
+#[derive(Debug)]
+pub struct Process(Child);
+
+impl Process {
+    fn start(args: &[&str]) -> Process {
+        let child = Command::new(BINARY)
+            .args(args)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        Process(child.expect("the binary starts"))
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.0.id() as i32), signal).expect("the process exists");
+    }
+
+    pub fn wait(&mut self) -> Option<i32> {
+        self.0.wait().expect("the process is a child").code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// An entry VM with its settings.
+#[derive(Debug)]
+pub struct EntryVm {
+    pub process: Process,
+    pub listen: SocketAddr,
+}
+
+/// Platform, upstreams of plan-desk and its neighbours, and entry VMs.
+#[derive(Debug)]
+pub struct Fleet {
+    pub platform: Process,
+    _upstreams: Process,
+    pub entries: Vec<EntryVm>,
+    pub platform_addr: SocketAddr,
+    pub control: SocketAddr,
+    dir: PathBuf,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Fleet {
+    /// Starts a fleet of three entry VMs, publishes the examples, and waits until every VM is ready.
+    pub async fn start(test: &str) -> Fleet {
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+        std::fs::create_dir_all(&dir).expect("the directory is writable");
+        let (platform_addr, control) = (free_addr(), free_addr());
+        let platform = Process::start(&["lab", "platform", "--listen", &platform_addr.to_string()]);
+        let http = Client::builder(TokioExecutor::new()).build_http();
+        wait_for("the platform", async || {
+            get(&http, platform_addr, "/vms").await.is_some()
+        })
+        .await;
+        let upstreams = Process::start(&[
+            "lab",
+            "upstreams",
+            "brunner-vaucher",
+            "--platform",
+            &platform_addr.to_string(),
+            "--control",
+            &control.to_string(),
+        ]);
+        wait_for("the upstreams", async || {
+            get(&http, platform_addr, "/objects/index/collections")
+                .await
+                .is_some()
+        })
+        .await;
+        let mut fleet = Fleet {
+            platform,
+            _upstreams: upstreams,
+            entries: Vec::new(),
+            platform_addr,
+            control,
+            dir,
+            http,
+        };
+        for number in 0..ZONES.len() {
+            fleet.add_entry(number, &[]).await;
+        }
+        assert_eq!(
+            fleet.publish(),
+            Some(0),
+            "the examples are in force everywhere"
+        );
+        for number in 0..ZONES.len() {
+            fleet.wait_until_ready(number).await;
+        }
+        fleet
+    }
+
+    /// Starts one more entry VM and registers it in the platform's list.
+    pub async fn add_entry(&mut self, number: usize, seeds: &[SocketAddr]) {
+        let (listen, peer) = (free_addr(), free_addr());
+        let zone = ZONES[number % ZONES.len()];
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let text = format!(
+            "node = \"{zone}-{number}\"\nzone = \"{zone}\"\nregion = \"schweiz\"\nlisten = \"{listen}\"\n\
+             peer = \"{peer}\"\nplatform = \"{}\"\nseeds = [{}]\n[shutdown]\nnotice_ms = 500\n",
+            self.platform_addr,
+            seeds.join(", "),
+        );
+        let path = self.dir.join(format!("{zone}-{number}.toml"));
+        std::fs::write(&path, text).expect("the directory is writable");
+        let path = path.to_str().expect("the path is text");
+        Process::start(&["lab", "vm", "--settings", path]).wait();
+        let process = Process::start(&["serve", "--settings", path]);
+        self.entries.push(EntryVm {
+            process,
+            listen,
+            peer,
+        });
+    }
+
+    /// Publishes the examples and returns the exit code.
+    pub fn publish(&self) -> Option<i32> {
+        Process::start(&[
+            "publish",
+            &format!("{EXAMPLES}/brunner-vaucher"),
+            "--platform",
+            &self.platform_addr.to_string(),
+            "--entry",
+            &self.entries[0].listen.to_string(),
+            "--wait",
+            "60",
+        ])
+        .wait()
+    }
+
+    pub async fn wait_until_ready(&self, number: usize) {
+        let listen = self.entries[number].listen;
+        wait_for("readiness", async || {
+            get(&self.http, listen, "/readyz").await.is_some()
+        })
+        .await;
+    }
+
+    /// Sends a request to an entry VM; `None` when the connection breaks before the answer.
+    pub async fn call(
+        &self,
+        entry: usize,
+        service: &str,
+        request: &str,
+        key: Option<&str>,
+    ) -> Option<Value> {
+        let listen = self.entries[entry].listen;
+        let uri = format!("http://{listen}/v1/services/{service}/requests/{request}");
+        let mut builder = Request::post(uri).header("content-type", "application/json");
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let body = Full::new(Bytes::from_static(
+            br#"{"body":{"text":"oak"},"explain":true}"#,
+        ));
+        let response = self.http.request(builder.body(body).ok()?).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Switches a fault of upstreams; no server named means all.
+    pub async fn inject(&self, servers: &[&str], fault: Value) {
+        let body = json!({ "servers": servers, "fault": fault }).to_string();
+        let request = Request::post(format!("http://{}/control/fault", self.control))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .expect("the request is valid");
+        let response = self
+            .http
+            .request(request)
+            .await
+            .expect("the control port answers");
+        assert!(response.status().is_success(), "the fault is known");
+    }
+
+    /// Returns how often the upstreams ran the request with a key.
+    pub async fn runs(&self, key: &str) -> u64 {
+        let body = get(&self.http, self.control, "/control/runs")
+            .await
+            .expect("the control port answers");
+        let runs: Value = serde_json::from_slice(&body).expect("the counts are JSON");
+        runs[key].as_u64().unwrap_or(0)
+    }
+}
+
+async fn get(
+    http: &Client<HttpConnector, Full<Bytes>>,
+    addr: SocketAddr,
+    path: &str,
+) -> Option<Bytes> {
+    let uri = format!("http://{addr}{path}").parse().ok()?;
+    let response = http.get(uri).await.ok()?;
+    let success = response.status().is_success();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    success.then_some(body)
+}
+
+async fn wait_for(what: &str, mut reached: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !reached().await {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting)
+        .await
+        .unwrap_or_else(|_| panic!("{what} never came"));
+}
+
+/// Returns a loopback address that was free a moment ago.
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("the listener has an address")
+}
--- /dev/null
+++ b/crates/limpetwick/tests/processes.rs
@@ -0,0 +1,123 @@
+//! Separate processes that are killed, frozen and stopped: no answer is wrong, lost or doubled.
+
+mod fleet;
+
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::fleet::Fleet;
+
+fn code(answer: &Value) -> u64 {
+    answer["code"].as_u64().unwrap_or(0)
+}
+
+/// Guards against a planned stop that cuts off requests in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_answers_every_request() {
+    let mut fleet = Fleet::start("planned_stop").await;
+    fleet
+        .inject(&[], json!({ "fault": "slow", "factor": 10.0 }))
+        .await;
+    let mut calls = JoinSet::new();
+    let shared = std::sync::Arc::new(fleet);
+    for _ in 0..20 {
+        let fleet = shared.clone();
+        calls.spawn(async move { fleet.call(0, "advisers", "search", None).await });
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(60)).await;
+    shared.entries[0].process.signal(Signal::SIGTERM);
+    let answers = calls.join_all().await;
+    assert!(
+        answers.iter().all(Option::is_some),
+        "every caller has an answer"
+    );
+    fleet = std::sync::Arc::into_inner(shared).expect("the calls have ended");
+    assert_eq!(fleet.entries[0].process.wait(), Some(0));
+}
+
+/// Guards against a second run when a VM dies during a request and the caller retries through another VM.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_vm_leaves_at_most_one_run() {
+    let fleet = Fleet::start("killed_vm").await;
+    fleet
+        .inject(&[], json!({ "fault": "slow", "factor": 10.0 }))
+        .await;
+    let first = fleet.call(0, "instalments", "post-instalment", Some("k-kill"));
+    let kill = async {
+        tokio::time::sleep(std::time::Duration::from_millis(40)).await;
+        fleet.entries[0].process.signal(Signal::SIGKILL);
+    };
+    let (first, ()) = tokio::join!(first, kill);
+    fleet.inject(&[], json!({ "fault": "clear" })).await;
+    let second = fleet
+        .call(1, "instalments", "post-instalment", Some("k-kill"))
+        .await;
+    let second = second.expect("the other VM answers");
+    let runs = fleet.runs("k-kill").await;
+    assert!(runs <= 1, "it ran {runs} times");
+    if first.as_ref().is_some_and(|first| code(first) == 100) {
+        assert_eq!(code(&second), 100, "a retry gets the first outcome");
+    }
+    if code(&second) == 100 {
+        assert_eq!(runs, 1, "an answered request ran");
+    }
+}
+
+/// Guards against a request that is sent without a claim while the platform hangs, and against reads that need the
+/// platform.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_platform_refuses_claims_and_serves_reads() {
+    let fleet = Fleet::start("frozen_platform").await;
+    fleet.platform.signal(Signal::SIGSTOP);
+    let read = fleet
+        .call(0, "advisers", "search", None)
+        .await
+        .expect("a read is answered");
+    assert!([100, 200, 201].contains(&code(&read)), "{read}");
+    let post = fleet
+        .call(1, "instalments", "post-instalment", Some("k-freeze"))
+        .await;
+    let post = post.expect("the caller has an answer");
+    assert!([305, 306, 404].contains(&code(&post)), "{post}");
+    assert_eq!(fleet.runs("k-freeze").await, 0, "nothing was sent");
+    fleet.platform.signal(Signal::SIGCONT);
+    if post["outcome"] == "refused" {
+        let again = fleet
+            .call(2, "instalments", "post-instalment", Some("k-freeze-2"))
+            .await;
+        assert!(again.is_some());
+        assert_eq!(
+            fleet.runs("k-freeze").await,
+            0,
+            "a refused request does not run later"
+        );
+    }
+}
+
+/// Guards against a second run when a paused VM resumes with a request that another VM has run meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_vm_does_not_run_a_request_twice() {
+    let fleet = Fleet::start("paused_vm").await;
+    let pause = async {
+        fleet.entries[0].process.signal(Signal::SIGSTOP);
+        let other = fleet
+            .call(1, "instalments", "post-instalment", Some("k-pause"))
+            .await;
+        fleet.entries[0].process.signal(Signal::SIGCONT);
+        other
+    };
+    let (first, second) = tokio::join!(
+        fleet.call(0, "instalments", "post-instalment", Some("k-pause")),
+        pause
+    );
+    let answered = [&first, &second]
+        .into_iter()
+        .flatten()
+        .filter(|answer| code(answer) == 100)
+        .count();
+    let runs = fleet.runs("k-pause").await;
+    assert!(runs <= 1, "it ran {runs} times");
+    assert!(answered == 0 || runs == 1, "{first:?} {second:?}");
+}
