Keep a view of the fleet from heartbeats within a byte budget

Every node needs to know which VMs and upstreams serve, without a coordination service. View merges heartbeats, drains, failure reports and zone summaries as joins, so that loss, repetition and order do not matter. VMs of a zone exchange heartbeat counters taken from a shared zone clock, which makes a counter one byte; zones exchange summaries and changes. Drains, leaving VMs and revisions are sent ahead of the periodic heartbeats, from a budget of their own. A large silent share of a zone is kept as suspect, and a silent zone as unreachable, instead of removed. Roles, groups and connection shares are functions of the view.

Replies now carry counters too, and a counter takes four bytes.

--- /dev/null
+++ b/crates/member/src/beat.rs
@@ -0,0 +1,465 @@
+//! Composition of heartbeats within the byte budget.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Bound;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::NodeId;
+use base::RegionName;
+use base::ZoneName;
+use prost::Message;
+use rand::Rng;
+use wire::BeatMessage;
+use wire::BeatReply;
+use wire::FailureReport;
+use wire::NodeRecord;
+use wire::Pulses;
+
+use crate::NodeKey;
+use crate::NodeState;
+use crate::Record;
+use crate::Summary;
+use crate::View;
+use crate::spread::Item;
+use crate::spread::Urgency;
+use crate::timing::BEAT_BYTES;
+use crate::timing::BEAT_PERIOD;
+use crate::timing::MESSAGE_OVERHEAD;
+use crate::timing::PULSES;
+use crate::timing::REMOTE_BYTES;
+use crate::timing::REMOTE_PERIOD;
+use crate::timing::REMOTE_PERIOD_MIN;
+use crate::timing::REMOTE_PERIOD_PER_NODE;
+use crate::timing::REPLY_BYTES;
+use crate::timing::URGENT_BYTES;
+use crate::timing::URGENT_PERIOD;
+use crate::timing::WANTED;
+
+/// Bytes per pulse: three of the key and one of the lag; revisions are rarely present.
+const PULSE_BYTES: usize = 4;
+
+/// Share of a periodic heartbeat that changes may take, in percent; the rest keeps the counters moving.
+const CHANGE_PERCENT: usize = 40;
+
+/// Summaries of other zones in one heartbeat.
+const ZONES: usize = 2;
+
+/// Live VMs that a summary names as bridges into its zone.
+const BRIDGES: usize = 2;
+
+/// Draws for a peer before a silent one is accepted.
+const DRAWS: usize = 8;
+
+/// One in this many draws accepts a silent peer, by which partitions inside a zone heal.
+const SILENT_DRAW: usize = 10;
+
+/// A heartbeat to send.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// Receiver.
+    pub to: NodeId,
+    /// Address of the receiver.
+    pub addr: SocketAddr,
+    /// The message.
+    pub beat: BeatMessage,
+}
+
+impl Outgoing {
+    /// Returns the bytes that the heartbeat takes on the network, estimated headers included.
+    pub fn bytes(&self) -> usize {
+        self.beat.encoded_len() + MESSAGE_OVERHEAD
+    }
+}
+
+/// Returns the bytes that a reply takes on the network, estimated headers included.
+pub fn reply_bytes(reply: &BeatReply) -> usize {
+    reply.encoded_len() + MESSAGE_OVERHEAD
+}
+
+/// A message under composition with its bytes left.
+pub(crate) struct Draft {
+    pub(crate) beat: BeatMessage,
+    left: usize,
+    /// Zone and region of the VM that sends the heartbeat; records leave them out when they are the same.
+    zone: ZoneName,
+    region: RegionName,
+}
+
+impl Draft {
+    /// Starts the changing part of a reply to a heartbeat.
+    pub(crate) fn for_reply(sender: &Record) -> Draft {
+        Draft {
+            beat: BeatMessage::default(),
+            left: REPLY_BYTES,
+            zone: sender.zone.clone(),
+            region: sender.region.clone(),
+        }
+    }
+
+    /// Takes the bytes of one embedded message, which costs a tag and a length of up to two bytes besides.
+    fn fits(&mut self, message: &impl Message, reserve: usize) -> bool {
+        let bytes = message.encoded_len() + 3;
+        let fits = bytes + reserve <= self.left;
+        if fits {
+            self.left -= bytes;
+        }
+        fits
+    }
+}
+
+impl View {
+    /// Advances time and returns the heartbeats that are due, at most five at once.
+    ///
+    /// The runtime is expected to call it every [`TICK`](crate::TICK); a long gap is taken for a pause.
+    pub fn tick(&mut self, now: Instant, rng: &mut dyn Rng) -> Vec<Outgoing> {
+        self.notice_pause(now);
+        self.store_me(now);
+        self.scan(now);
+        let mut out = Vec::new();
+        self.send_urgent(now, rng, &mut out);
+        if is_due(&mut self.next_beat, BEAT_PERIOD, now, rng) {
+            let zone = self.me.zone.clone();
+            if let Some(peer) = self.pick_peer(&zone, rng) {
+                let beat = self.compose_beat(now);
+                out.push(self.address(peer, beat));
+            }
+        }
+        let period = self.remote_period();
+        if is_due(&mut self.next_remote, period, now, rng)
+            && let Some(peer) = self.pick_remote(rng)
+        {
+            let beat = self.compose_remote(now);
+            out.push(self.address(peer, beat));
+        }
+        out
+    }
+
+    /// Returns the period of heartbeats to other zones, shorter in a small zone so that the zone is heard as often.
+    fn remote_period(&self) -> Duration {
+        let members = self.zones[&self.me.zone].members.len() as u32;
+        (REMOTE_PERIOD_PER_NODE * members).clamp(REMOTE_PERIOD_MIN, REMOTE_PERIOD)
+    }
+
+    fn send_urgent(&mut self, now: Instant, rng: &mut dyn Rng, out: &mut Vec<Outgoing>) {
+        if self.rounds == 0 || now < self.next_urgent {
+            return;
+        }
+        let zone = self.me.zone.clone();
+        let mut peers: Vec<NodeKey> = [
+            self.pick_peer(&zone, rng),
+            self.pick_remote(rng),
+            self.pick_peer(&zone, rng),
+        ]
+        .into_iter()
+        .flatten()
+        .collect();
+        if peers.len() > 2 && peers[0] == peers[2] {
+            peers.pop();
+        }
+        if peers.is_empty() {
+            return;
+        }
+        let beat = self.compose_urgent(now);
+        let bytes = beat.encoded_len() + MESSAGE_OVERHEAD;
+        // Fewer peers now inform more nodes than the same number of peers later.
+        peers.truncate(self.budget.available(now) / bytes);
+        if peers.is_empty() {
+            return;
+        }
+        self.budget.spend(peers.len() * bytes);
+        self.rounds -= 1;
+        self.next_urgent = now + URGENT_PERIOD;
+        for peer in peers {
+            out.push(self.address(peer, beat.clone()));
+        }
+    }
+
+    fn address(&self, peer: NodeKey, beat: BeatMessage) -> Outgoing {
+        let record = &self.nodes[peer].record;
+        Outgoing {
+            to: record.id.clone(),
+            addr: record.addr,
+            beat,
+        }
+    }
+
+    fn compose_beat(&mut self, now: Instant) -> BeatMessage {
+        let mut draft = self.draft(BEAT_BYTES, now);
+        draft.beat.wanted = std::mem::take(&mut self.wanted).into_iter().collect();
+        draft.left = draft
+            .left
+            .saturating_sub(draft.beat.wanted.len().min(WANTED) * 4 + 2);
+        let reserve = draft.left * (100 - CHANGE_PERCENT) / 100;
+        self.add_changes(&mut draft, Urgency::Report, reserve);
+        let pulses = self.pulses(draft.left, now);
+        draft.left = draft.left.saturating_sub(pulses.encoded_len() + 3);
+        draft.beat.pulses = Some(pulses);
+        self.add_zones(&mut draft);
+        self.add_rotation(&mut draft);
+        draft.beat
+    }
+
+    fn compose_remote(&mut self, now: Instant) -> BeatMessage {
+        let mut draft = self.draft(REMOTE_BYTES, now);
+        let mut summary = self.summarize(now).to_wire(&self.me.zone);
+        summary.bridges = self.bridges();
+        if draft.fits(&summary, 0) {
+            draft.beat.zones.push(summary);
+        }
+        self.add_changes(&mut draft, Urgency::Report, 0);
+        self.add_zones(&mut draft);
+        self.add_rotation(&mut draft);
+        draft.beat
+    }
+
+    fn compose_urgent(&mut self, now: Instant) -> BeatMessage {
+        let mut draft = self.draft(URGENT_BYTES, now);
+        self.add_changes(&mut draft, Urgency::Drain, 0);
+        draft.beat
+    }
+
+    fn draft(&self, bytes: usize, now: Instant) -> Draft {
+        let beat = BeatMessage {
+            sender: Some(self.me.to_message()),
+            clock: self.clock.read(now),
+            ..Default::default()
+        };
+        Draft {
+            left: bytes.saturating_sub(beat.encoded_len()),
+            beat,
+            zone: self.me.zone.clone(),
+            region: self.me.region.clone(),
+        }
+    }
+
+    pub(crate) fn add_changes(&mut self, draft: &mut Draft, least: Urgency, reserve: usize) {
+        for item in self.spread.ranked(least) {
+            let added = match &item {
+                Item::Node(id) => self.add_node(draft, id, reserve),
+                Item::Upstream(id) => self.add_upstream(draft, id, reserve),
+                Item::Report(id, reporter) => self.add_report(draft, id, reporter, reserve),
+            };
+            match added {
+                Some(true) => self.spread.mark_sent(&item),
+                Some(false) => break,
+                None => self.spread.remove(&item),
+            }
+        }
+    }
+
+    fn add_node(&self, draft: &mut Draft, id: &NodeId, reserve: usize) -> Option<bool> {
+        let record = &self.node(id)?.record;
+        let wire = record.to_wire(&draft.zone, &draft.region);
+        let fits = draft.fits(&wire, reserve);
+        if fits {
+            draft.beat.nodes.push(wire);
+        }
+        Some(fits)
+    }
+
+    fn add_upstream(&self, draft: &mut Draft, id: &str, reserve: usize) -> Option<bool> {
+        let wire = self.upstreams.get(id)?.to_wire(id);
+        let fits = draft.fits(&wire, reserve);
+        if fits {
+            draft.beat.upstreams.push(wire);
+        }
+        Some(fits)
+    }
+
+    fn add_report(&self, draft: &mut Draft, id: &str, by: &NodeId, room: usize) -> Option<bool> {
+        let entry = self.upstreams.get(id)?;
+        let report = entry.reports.iter().find(|report| report.reporter == *by)?;
+        let wire = FailureReport {
+            upstream: id.to_string(),
+            reporter: by.to_string(),
+            sequence: report.sequence,
+        };
+        let fits = draft.fits(&wire, room);
+        if fits {
+            draft.beat.reports.push(wire);
+        }
+        Some(fits)
+    }
+
+    /// Writes the counters of the own zone, the freshest first when not all fit.
+    pub(crate) fn pulses(&self, bytes: usize, now: Instant) -> Pulses {
+        let clock = self.clock.read(now);
+        let mut fresh: Vec<&crate::Node> = self.zones[&self.me.zone]
+            .members
+            .iter()
+            .map(|&key| &self.nodes[key])
+            .filter(|node| {
+                node.heard()
+                    && !node.silent
+                    && node.record.state < NodeState::Dead
+                    && clock.saturating_sub(node.record.counter) < u64::from(u8::MAX)
+            })
+            .collect();
+        let count = PULSES.min(bytes / PULSE_BYTES);
+        if fresh.len() > count {
+            fresh.select_nth_unstable_by_key(count, |node| u64::MAX - node.record.counter);
+            fresh.truncate(count);
+        }
+        let newest = fresh.iter().map(|node| node.record.revision).max();
+        let newest = newest.unwrap_or(0);
+        let lag = |reading: u64, at: u64| reading.saturating_sub(at).min(255) as u8;
+        let mut pulses = Pulses {
+            clock,
+            newest,
+            ..Default::default()
+        };
+        let mut keys = Vec::with_capacity(3 * fresh.len());
+        for node in &fresh {
+            keys.extend_from_slice(&node.pulse.to_be_bytes()[1..]);
+        }
+        pulses.keys = keys.into();
+        let lags = fresh.iter().map(|node| lag(clock, node.record.counter));
+        pulses.lags = lags.collect::<Vec<u8>>().into();
+        if fresh.iter().any(|node| node.record.revision != newest) {
+            let behind = fresh.iter().map(|node| lag(newest, node.record.revision));
+            pulses.behind = behind.collect::<Vec<u8>>().into();
+        }
+        pulses
+    }
+
+    pub(crate) fn add_zones(&mut self, draft: &mut Draft) {
+        let mut added = 0;
+        for _ in 0..self.zones.len() {
+            let Some(name) = next_key(&self.zones, &self.zone_cursor) else {
+                return;
+            };
+            let zone = &self.zones[&name];
+            self.zone_cursor = name.clone();
+            if name == draft.zone || !zone.reachable || zone.summary.clock == 0 {
+                continue;
+            }
+            let wire = zone.summary.to_wire(&name);
+            if draft.fits(&wire, 0) {
+                draft.beat.zones.push(wire);
+                added += 1;
+            }
+            if added == ZONES {
+                return;
+            }
+        }
+    }
+
+    /// Fills the rest with records in rotation, so that what was missed is repaired in time.
+    fn add_rotation(&mut self, draft: &mut Draft) {
+        let after = (
+            Bound::Excluded(self.upstream_cursor.as_str()),
+            Bound::Unbounded,
+        );
+        let next = self.exceptions.range::<str, _>(after).next().cloned();
+        self.upstream_cursor = next.unwrap_or_default();
+        let id = self.upstream_cursor.clone();
+        if !id.is_empty() {
+            self.add_upstream(draft, &id, 0);
+        }
+        for _ in 0..self.by_id.len() {
+            let Some(id) = next_key(&self.by_id, &self.node_cursor) else {
+                return;
+            };
+            let heard = self.node(&id).is_some_and(|node| node.heard());
+            if heard && id != self.me.id && self.add_node(draft, &id, 0) != Some(true) {
+                return;
+            }
+            self.node_cursor = id;
+        }
+    }
+
+    pub(crate) fn summarize(&self, now: Instant) -> Summary {
+        let mut summary = Summary {
+            clock: self.clock.read(now),
+            ..Default::default()
+        };
+        let mut revisions = BTreeMap::new();
+        for &key in &self.zones[&self.me.zone].members {
+            let node = &self.nodes[key];
+            match node.state() {
+                NodeState::Live => summary.live += 1,
+                NodeState::Suspect => summary.suspect += 1,
+                NodeState::Leaving => summary.leaving += 1,
+                NodeState::Dead => continue,
+            }
+            *revisions.entry(node.record.revision).or_insert(0) += 1;
+        }
+        summary.revisions = Summary::count_revisions(revisions);
+        let drains = self.exceptions.iter().filter_map(|id| {
+            let entry = self.upstreams.get(id)?;
+            let place = entry.placement.as_ref()?;
+            (entry.draining && place.zone == self.me.zone).then_some(())
+        });
+        summary.draining = drains.count() as u32;
+        summary
+    }
+
+    fn bridges(&self) -> Vec<NodeRecord> {
+        self.relays(&self.me.zone)
+            .into_iter()
+            .filter_map(|id| self.node(id))
+            .filter(|node| node.record.id != self.me.id && node.heard())
+            .take(BRIDGES)
+            .map(|node| node.record.to_wire(&self.me.zone, &self.me.region))
+            .collect()
+    }
+
+    fn pick_remote(&self, rng: &mut dyn Rng) -> Option<NodeKey> {
+        let others: Vec<&ZoneName> = self
+            .zones
+            .iter()
+            .filter(|(name, zone)| **name != self.me.zone && !zone.members.is_empty())
+            .map(|(name, _)| name)
+            .collect();
+        let zone = *others.get(draw_below(rng, others.len())?)?;
+        self.pick_peer(zone, rng)
+    }
+
+    fn pick_peer(&self, zone: &ZoneName, rng: &mut dyn Rng) -> Option<NodeKey> {
+        let members = &self.zones.get(zone)?.members;
+        let any = draw_below(rng, SILENT_DRAW) == Some(0);
+        let mut last = None;
+        for _ in 0..DRAWS {
+            let key = members[draw_below(rng, members.len())?];
+            let node = &self.nodes[key];
+            if key == self.my_key || node.record.state == NodeState::Dead {
+                continue;
+            }
+            last = Some(key);
+            if any || !node.silent {
+                break;
+            }
+        }
+        last
+    }
+}
+
+fn draw_below(rng: &mut dyn Rng, bound: usize) -> Option<usize> {
+    (bound > 0).then(|| (rng.next_u64() % bound as u64) as usize)
+}
+
+/// Returns whether a periodic action is due, and schedules the next one with jitter so that VMs do not act in step.
+fn is_due(next: &mut Option<Instant>, period: Duration, now: Instant, rng: &mut dyn Rng) -> bool {
+    let draw = (rng.next_u64() % 1_000) as u32;
+    match *next {
+        None => {
+            *next = Some(now + period * draw / 1_000);
+            false
+        }
+        Some(at) if at <= now => {
+            *next = Some(now + period * (750 + draw / 2) / 1_000);
+            true
+        }
+        Some(_) => false,
+    }
+}
+
+/// Returns the key after the cursor, or the first one when there is none.
+fn next_key<V>(map: &BTreeMap<compact_str::CompactString, V>, cursor: &str) -> Option<ZoneName> {
+    let after = (Bound::Excluded(cursor), Bound::Unbounded);
+    let next = map.range::<str, _>(after).next();
+    next.or_else(|| map.iter().next())
+        .map(|(key, _)| key.clone())
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,61 @@
 //! Membership of entry VMs and upstreams, and the roles derived from it.
+//!
+//! A [`View`] is a state machine: it takes messages, evidence and the time, and returns heartbeats to send. VMs of one
+//! zone exchange heartbeat counters of each other; zones exchange summaries and changes.
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! let now = Instant::now();
+//! let identity = |id: &str| member::Identity {
+//!     id: id.into(),
+//!     zone: "zurich".into(),
+//!     region: "north".into(),
+//!     addr: "10.0.0.1:7000".parse().unwrap(),
+//!     incarnation: 1,
+//! };
+//! let mut first = member::View::new(identity("vm-1"), now);
+//! let second = member::View::new(identity("vm-2"), now);
+//! let beat = wire::BeatMessage {
+//!     sender: Some(second.me().to_message()),
+//!     ..Default::default()
+//! };
+//! first.receive(&beat, now);
+//! assert_eq!(first.relays("zurich").len(), 2);
+//! ```
+
+mod beat;
+mod clock;
+mod group;
+mod node;
+mod receive;
+mod roles;
+mod scan;
+mod size;
+mod spread;
+mod timing;
+mod upstream;
+mod view;
+mod zone;
+
+pub use crate::beat::Outgoing;
+pub use crate::beat::reply_bytes;
+pub use crate::group::GROUP_SIZE;
+pub use crate::group::Group;
+pub use crate::group::GroupName;
+pub use crate::group::divide_upstreams;
+pub use crate::node::Change;
+pub use crate::node::Node;
+pub use crate::node::NodeState;
+pub use crate::node::Record;
+pub use crate::roles::HOLDERS;
+pub use crate::roles::MIN_SHARE;
+pub use crate::roles::RELAYS;
+pub use crate::timing::MESSAGE_OVERHEAD;
+pub use crate::timing::TICK;
+pub use crate::upstream::Evidence;
+pub use crate::upstream::Health;
+pub use crate::view::Identity;
+pub(crate) use crate::view::NodeKey;
+pub use crate::view::View;
+pub use crate::zone::Summary;
--- /dev/null
+++ b/crates/member/src/receive.rs
@@ -0,0 +1,307 @@
+//! Merging of received messages.
+
+use std::time::Instant;
+
+use base::UpstreamId;
+use base::ZoneName;
+use wire::BeatMessage;
+use wire::BeatReply;
+use wire::DrainNotice;
+use wire::FailureReport;
+use wire::Pulses;
+use wire::UpstreamRecord;
+use wire::ZoneSummary;
+
+use crate::Change;
+use crate::NodeKey;
+use crate::NodeState;
+use crate::Record;
+use crate::Summary;
+use crate::View;
+use crate::beat::Draft;
+use crate::spread::Item;
+use crate::spread::Urgency;
+use crate::timing::BEAT_BYTES;
+use crate::timing::DRAINS_AT_START;
+use crate::timing::WANTED;
+use crate::upstream::Entry;
+use crate::zone::Zone;
+
+impl View {
+    /// Merges a heartbeat and returns the reply, which holds only what the sender lacks.
+    ///
+    /// Merging is commutative and idempotent, so heartbeats may be lost, repeated and reordered.
+    pub fn receive(&mut self, beat: &BeatMessage, now: Instant) -> BeatReply {
+        self.notice_pause(now);
+        let sender = beat.sender.as_ref();
+        let Some(sender) = sender.and_then(|wire| Record::from_wire(wire, "", "")) else {
+            return BeatReply::default();
+        };
+        if sender.zone == self.me.zone {
+            self.clock.adopt(beat.clock, now);
+        }
+        let started = self.merge_node(&sender, now) == Change::State;
+        let bridges = beat.zones.iter().flat_map(|zone| &zone.bridges);
+        for wire in beat.nodes.iter().chain(bridges) {
+            if let Some(record) = Record::from_wire(wire, &sender.zone, &sender.region) {
+                self.merge_node(&record, now);
+            }
+        }
+        if let Some(pulses) = &beat.pulses
+            && sender.zone == self.me.zone
+        {
+            self.merge_pulses(pulses, now);
+        }
+        for wire in &beat.upstreams {
+            self.merge_upstream(wire, now);
+        }
+        for report in &beat.reports {
+            self.merge_report(report, now);
+        }
+        for zone in &beat.zones {
+            self.merge_zone(zone, now);
+        }
+        let mut reply = self.reply(beat, &sender, now);
+        if started {
+            reply.upstreams = self.drains();
+        }
+        reply
+    }
+
+    /// Merges the reply to a heartbeat that this VM sent.
+    pub fn receive_reply(&mut self, reply: &BeatReply, now: Instant) {
+        self.notice_pause(now);
+        let (zone, region) = (self.me.zone.clone(), self.me.region.clone());
+        for wire in &reply.nodes {
+            if let Some(record) = Record::from_wire(wire, &zone, &region) {
+                self.merge_node(&record, now);
+            }
+        }
+        for wire in &reply.upstreams {
+            self.merge_upstream(wire, now);
+        }
+        for zone in &reply.zones {
+            self.merge_zone(zone, now);
+        }
+        if let Some(pulses) = &reply.pulses {
+            self.clock.adopt(pulses.clock, now);
+            self.merge_pulses(pulses, now);
+        }
+    }
+
+    /// Merges a notice that upstreams are leaving.
+    pub fn receive_drain(&mut self, notice: &DrainNotice, now: Instant) {
+        self.notice_pause(now);
+        for wire in &notice.upstreams {
+            self.merge_upstream(wire, now);
+        }
+    }
+
+    fn reply(&mut self, beat: &BeatMessage, sender: &Record, now: Instant) -> BeatReply {
+        let mut draft = Draft::for_reply(sender);
+        // An urgent heartbeat has neither counters nor summaries, and its sender has the news already.
+        if beat.pulses.is_some() || !beat.zones.is_empty() {
+            self.add_changes(&mut draft, Urgency::Drain, 0);
+            self.add_zones(&mut draft);
+        }
+        let mut reply = BeatReply {
+            nodes: draft.beat.nodes,
+            upstreams: draft.beat.upstreams,
+            zones: draft.beat.zones,
+            pulses: None,
+        };
+        let known = self.node(&sender.id).map(|node| &node.record);
+        let stale = known.filter(|known| {
+            known.incarnation > sender.incarnation
+                || known.incarnation == sender.incarnation && known.state > sender.state
+        });
+        let wanted = beat
+            .wanted
+            .iter()
+            .take(WANTED)
+            .filter_map(|key| self.by_pulse.get(key))
+            .map(|&key| &self.nodes[key].record);
+        for record in stale.into_iter().chain(wanted) {
+            let wire = record.to_wire(&sender.zone, &sender.region);
+            reply.nodes.push(wire);
+        }
+        if beat.pulses.is_some() && sender.zone == self.me.zone {
+            reply.pulses = Some(self.pulses(BEAT_BYTES, now));
+        }
+        reply
+    }
+
+    /// Returns draining upstreams for a VM that has just started and missed the changes of the last seconds.
+    fn drains(&self) -> Vec<UpstreamRecord> {
+        let entries = self
+            .exceptions
+            .iter()
+            .filter_map(|id| Some((id, self.upstreams.get(id)?)))
+            .filter(|(_, entry)| entry.draining);
+        let mut newest: Vec<(&UpstreamId, &Entry)> = entries.collect();
+        newest.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.changed));
+        newest.truncate(DRAINS_AT_START);
+        newest
+            .into_iter()
+            .map(|(id, entry)| entry.to_wire(id))
+            .collect()
+    }
+
+    /// Repeats all drains within the periodic heartbeats, for a zone that missed those of a partition.
+    fn repeat_drains(&mut self, now: Instant) {
+        let draining = self.exceptions.iter().filter(|id| {
+            let entry = self.upstreams.get(*id);
+            entry.is_some_and(|entry| entry.draining)
+        });
+        for id in draining {
+            let item = Item::Upstream(id.clone());
+            self.spread.add_missing(item, Urgency::Ordinary, now);
+        }
+    }
+
+    fn merge_node(&mut self, record: &Record, now: Instant) -> Change {
+        if record.id == self.me.id {
+            let refuted = record.incarnation == self.me.incarnation && record.state > self.me.state;
+            if record.incarnation > self.me.incarnation || refuted {
+                self.raise(record.incarnation, now);
+            }
+            return Change::None;
+        }
+        let was_known = self.by_id.get(&record.id).copied();
+        let change = match was_known {
+            Some(key) => self.merge_known(key, record, now),
+            None => {
+                self.insert_node(record.clone(), now);
+                Change::State
+            }
+        };
+        self.note_revision(record.revision, record.id.clone());
+        if change == Change::State && record.incarnation > 0 {
+            self.epoch += 1;
+            let urgent = record.state == NodeState::Leaving;
+            let urgency = if urgent {
+                Urgency::Drain
+            } else {
+                Urgency::Ordinary
+            };
+            self.spread.add(Item::Node(record.id.clone()), urgency, now);
+            if urgent {
+                self.hurry(now);
+            }
+        }
+        change
+    }
+
+    fn merge_known(&mut self, key: NodeKey, record: &Record, now: Instant) -> Change {
+        let node = &mut self.nodes[key];
+        let before = (node.record.incarnation, node.record.counter);
+        let zone = node.record.zone.clone();
+        let change = node.record.merge(record);
+        if (node.record.incarnation, node.record.counter) > before {
+            node.advanced = now;
+            self.epoch += u64::from(node.silent);
+            node.silent = false;
+        }
+        if node.record.incarnation != before.0 {
+            let new_zone = node.record.zone.clone();
+            self.move_pulse(key);
+            if new_zone != zone {
+                self.move_node(key, &zone, new_zone, now);
+            }
+        }
+        change
+    }
+
+    /// Moves a VM to the pulse key of its new incarnation.
+    pub(crate) fn move_pulse(&mut self, key: NodeKey) {
+        let node = &mut self.nodes[key];
+        let old = std::mem::replace(&mut node.pulse, node.record.pulse_key());
+        let new = node.pulse;
+        if self.by_pulse.get(&old) == Some(&key) {
+            self.by_pulse.remove(&old);
+        }
+        self.by_pulse.insert(new, key);
+    }
+
+    /// Moves a VM that restarted in another zone.
+    fn move_node(&mut self, key: NodeKey, from: &ZoneName, to: ZoneName, now: Instant) {
+        if let Some(zone) = self.zones.get_mut(from) {
+            zone.members.retain(|&member| member != key);
+        }
+        let zone = self.zones.entry(to).or_insert_with(|| Zone::new(now));
+        zone.members.push(key);
+    }
+
+    fn merge_pulses(&mut self, pulses: &Pulses, now: Instant) {
+        for (at, (key, &lag)) in pulses.keys.chunks_exact(3).zip(&pulses.lags).enumerate() {
+            let key = u32::from_be_bytes([0, key[0], key[1], key[2]]);
+            let Some(&node) = self.by_pulse.get(&key) else {
+                if self.wanted.len() < WANTED {
+                    self.wanted.insert(key);
+                }
+                continue;
+            };
+            if node == self.my_key {
+                continue;
+            }
+            let node = &mut self.nodes[node];
+            let counter = pulses.clock.saturating_sub(u64::from(lag));
+            if counter > node.record.counter {
+                node.record.counter = counter;
+                node.advanced = now;
+                self.epoch += u64::from(node.silent);
+                node.silent = false;
+            }
+            let behind = pulses.behind.get(at).copied().unwrap_or(0);
+            if behind < u8::MAX {
+                let revision = pulses.newest.saturating_sub(u64::from(behind));
+                node.record.revision = node.record.revision.max(revision);
+            }
+        }
+    }
+
+    fn merge_upstream(&mut self, wire: &UpstreamRecord, now: Instant) {
+        if wire.id.is_empty() {
+            return;
+        }
+        let id = UpstreamId::from(wire.id.as_str());
+        let draining = wire.state() == wire::UpstreamState::Draining;
+        let entry = self.upstreams.entry(id.clone());
+        let entry = entry.or_insert_with(|| Entry::new(now));
+        if entry.merge(wire.epoch, draining, now) {
+            self.spread_upstream(id, draining, now);
+        } else if entry.epoch > wire.epoch {
+            // The other node has missed the later state.
+            self.spread
+                .add_missing(Item::Upstream(id), Urgency::Ordinary, now);
+        }
+    }
+
+    fn merge_report(&mut self, report: &FailureReport, now: Instant) {
+        let Some(entry) = self.upstreams.get_mut(report.upstream.as_str()) else {
+            return;
+        };
+        let reporter = report.reporter.as_str().into();
+        if entry.report(&reporter, report.sequence, now) {
+            let item = Item::Report(report.upstream.as_str().into(), reporter);
+            self.spread.add(item, Urgency::Report, now);
+        }
+    }
+
+    fn merge_zone(&mut self, wire: &ZoneSummary, now: Instant) {
+        if wire.zone.is_empty() {
+            return;
+        }
+        if wire.zone == self.me.zone {
+            self.clock.adopt(wire.clock, now);
+            return;
+        }
+        let name = wire.zone.as_str().into();
+        let zone = self.zones.entry(name).or_insert_with(|| Zone::new(now));
+        if zone.merge(Summary::from_wire(wire), now) && !zone.reachable {
+            zone.reachable = true;
+            self.epoch += 1;
+            self.repeat_drains(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/zone.rs
@@ -0,0 +1,109 @@
+//! What a node knows of each availability zone as a whole.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use base::Revision;
+use base::ZoneName;
+use wire::RevisionCount;
+use wire::ZoneSummary;
+
+use crate::NodeKey;
+
+/// Most revisions that a summary counts.
+const REVISIONS: usize = 3;
+
+/// Counts of a zone, made by one of its VMs and passed on by others.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Summary {
+    /// Clock of the zone when the summary was made.
+    pub clock: u64,
+    /// VMs whose heartbeats arrive.
+    pub live: u32,
+    /// VMs whose heartbeats have stopped.
+    pub suspect: u32,
+    /// VMs that are going to stop.
+    pub leaving: u32,
+    /// Number of VMs by revision in force, the three highest, descending.
+    pub revisions: Vec<(Revision, u32)>,
+    /// Upstreams that are draining.
+    pub draining: u32,
+}
+
+impl Summary {
+    pub(crate) fn count_revisions(revisions: BTreeMap<Revision, u32>) -> Vec<(Revision, u32)> {
+        revisions.into_iter().rev().take(REVISIONS).collect()
+    }
+
+    pub(crate) fn from_wire(wire: &ZoneSummary) -> Summary {
+        Summary {
+            clock: wire.clock,
+            live: wire.live,
+            suspect: wire.suspect,
+            leaving: wire.leaving,
+            revisions: wire
+                .revisions
+                .iter()
+                .take(REVISIONS)
+                .map(|count| (count.revision, count.nodes))
+                .collect(),
+            draining: wire.draining,
+        }
+    }
+
+    pub(crate) fn to_wire(&self, zone: &ZoneName) -> ZoneSummary {
+        ZoneSummary {
+            zone: zone.to_string(),
+            clock: self.clock,
+            live: self.live,
+            suspect: self.suspect,
+            leaving: self.leaving,
+            revisions: self
+                .revisions
+                .iter()
+                .map(|&(revision, nodes)| RevisionCount { revision, nodes })
+                .collect(),
+            draining: self.draining,
+            bridges: Vec::new(),
+        }
+    }
+
+    /// Returns the number of VMs that are counted, whatever their state.
+    pub fn nodes(&self) -> u32 {
+        self.live + self.suspect + self.leaving
+    }
+}
+
+/// An availability zone as seen by this node.
+#[derive(Debug)]
+pub(crate) struct Zone {
+    /// Members in the order in which they became known.
+    pub(crate) members: Vec<NodeKey>,
+    pub(crate) summary: Summary,
+    /// Moment when the zone's clock last rose here.
+    pub(crate) advanced: Instant,
+    pub(crate) reachable: bool,
+}
+
+impl Zone {
+    pub(crate) fn new(now: Instant) -> Zone {
+        Zone {
+            members: Vec::new(),
+            summary: Summary::default(),
+            advanced: now,
+            reachable: true,
+        }
+    }
+
+    /// Merges a summary; the higher clock wins, and of two with one clock the larger by its counts.
+    pub(crate) fn merge(&mut self, summary: Summary, now: Instant) -> bool {
+        if summary <= self.summary {
+            return false;
+        }
+        if summary.clock > self.summary.clock {
+            self.advanced = now;
+        }
+        self.summary = summary;
+        true
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,10 +4,10 @@
 pub struct NodeRecord {
     #[prost(string, tag = "1")]
     pub id: ::prost::alloc::string::String,
-    /// Absent when it equals the sender's zone.
+    /// Absent when it equals the zone of the VM that sent the heartbeat, in the reply too.
     #[prost(string, tag = "2")]
     pub zone: ::prost::alloc::string::String,
-    /// Absent when it equals the sender's region.
+    /// Absent when it equals the region of the VM that sent the heartbeat, in the reply too.
     #[prost(string, tag = "3")]
     pub region: ::prost::alloc::string::String,
     /// Four or sixteen bytes of IP address, then two bytes of port, in network order.
@@ -79,15 +79,24 @@
     #[prost(message, repeated, tag = "8")]
     pub bridges: ::prost::alloc::vec::Vec<NodeRecord>,
 }
-/// Heartbeat counters of VMs in the sender's zone, in two parallel lists.
+/// Heartbeat counters of VMs in the sender's zone, in parallel lists.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Pulses {
-    /// Low 32 bits of the hash of id and incarnation.
-    #[prost(fixed32, repeated, tag = "1")]
-    pub keys: ::prost::alloc::vec::Vec<u32>,
-    /// Distance of each counter behind `BeatMessage.clock`, at most 255.
+    /// Three bytes per VM, in network order: low 24 bits of the hash of id and incarnation.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub keys: ::prost::bytes::Bytes,
+    /// One byte per VM: distance of its counter behind `clock`, below 255.
     #[prost(bytes = "bytes", tag = "2")]
     pub lags: ::prost::bytes::Bytes,
+    /// One byte per VM: distance of its revision behind `newest`, 255 when it is not known. Empty when all are zero.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub behind: ::prost::bytes::Bytes,
+    /// Clock of the sender's zone.
+    #[prost(uint64, tag = "4")]
+    pub clock: u64,
+    /// Highest revision that the sender knows to be in force in its zone.
+    #[prost(uint64, tag = "5")]
+    pub newest: u64,
 }
 /// One heartbeat.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -98,7 +107,7 @@
     /// Clock of the sender's zone.
     #[prost(uint64, tag = "2")]
     pub clock: u64,
-    /// Absent between zones.
+    /// Absent between zones and in urgent heartbeats.
     #[prost(message, optional, tag = "3")]
     pub pulses: ::core::option::Option<Pulses>,
     /// Changed records first, then records in rotation.
@@ -110,9 +119,26 @@
     pub reports: ::prost::alloc::vec::Vec<FailureReport>,
     #[prost(message, repeated, tag = "7")]
     pub zones: ::prost::alloc::vec::Vec<ZoneSummary>,
+    /// Keys from earlier pulses for which the sender has no record; the reply carries the records.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub wanted: ::prost::alloc::vec::Vec<u32>,
+}
+/// Answer to a heartbeat.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BeatReply {
+    /// Records that the sender wanted, its own record when it is held to be dead, and VMs that are leaving.
+    #[prost(message, repeated, tag = "1")]
+    pub nodes: ::prost::alloc::vec::Vec<NodeRecord>,
+    /// Present when the heartbeat had pulses, so that one exchange informs both sides.
+    #[prost(message, optional, tag = "2")]
+    pub pulses: ::core::option::Option<Pulses>,
+    /// Drains that are still being repeated; all drains when the sender's incarnation was new here.
+    #[prost(message, repeated, tag = "3")]
+    pub upstreams: ::prost::alloc::vec::Vec<UpstreamRecord>,
+    /// Summaries of zones, in rotation.
+    #[prost(message, repeated, tag = "4")]
+    pub zones: ::prost::alloc::vec::Vec<ZoneSummary>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct BeatReply {}
 /// Upstreams whose replies said that they are leaving.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct DrainNotice {
@@ -443,7 +469,6 @@
 pub enum UpstreamState {
     Live = 0,
     Draining = 1,
-    Gone = 2,
 }
 impl UpstreamState {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -454,7 +479,6 @@
         match self {
             Self::Live => "UPSTREAM_STATE_LIVE",
             Self::Draining => "UPSTREAM_STATE_DRAINING",
-            Self::Gone => "UPSTREAM_STATE_GONE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -462,7 +486,6 @@
         match value {
             "UPSTREAM_STATE_LIVE" => Some(Self::Live),
             "UPSTREAM_STATE_DRAINING" => Some(Self::Draining),
-            "UPSTREAM_STATE_GONE" => Some(Self::Gone),
             _ => None,
         }
     }
@@ -645,7 +668,7 @@
             self.inner = self.inner.max_encoding_message_size(limit);
             self
         }
-        /// Exchanges membership; the reply is empty, because news travels with the receiver's own heartbeats.
+        /// Exchanges membership.
         pub async fn beat(
             &mut self,
             request: impl tonic::IntoRequest<super::BeatMessage>,
@@ -859,7 +882,7 @@
     /// Generated trait containing gRPC methods that should be implemented for use with PeerServer.
     #[async_trait]
     pub trait Peer: std::marker::Send + std::marker::Sync + 'static {
-        /// Exchanges membership; the reply is empty, because news travels with the receiver's own heartbeats.
+        /// Exchanges membership.
         async fn beat(
             &self,
             request: tonic::Request<super::BeatMessage>,
