--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -13,6 +13,7 @@
 use member::Outgoing;
 use member::TICK;
 use serde_json::value::RawValue;
+use wire::IndexRequest;
 use wire::PullReply;
 use wire::PullRequest;
 
@@ -154,17 +155,38 @@
             Ok(changes) => {
                 after = changes.version.max(after);
                 for changed in changes.objects {
-                    node.set_index(changed.value);
+                    node.set_index(changed.version, changed.value);
                 }
             }
             Err(error) => {
                 log::warn!("shard: the platform cannot be watched: {error}");
+                pull_indexes(&node).await;
                 tokio::time::sleep(error.retry_after()).await;
             }
         }
     }
 }
 
+/// Fetches the indexes that a peer has and this node lacks, because the platform cannot be reached.
+async fn pull_indexes(node: &Node) {
+    let Some(peer) = node.random_peer() else {
+        return;
+    };
+    let request = IndexRequest {
+        after: node.index_version(),
+    };
+    let mut client = node.peers.client(peer);
+    let Ok(Ok(reply)) = tokio::time::timeout(PEER_TIMEOUT, client.indexes(request)).await else {
+        return;
+    };
+    for object in reply.into_inner().objects {
+        match serde_json::from_slice(&object.state) {
+            Ok(state) => node.set_index(object.version, state),
+            Err(error) => log::warn!("shard: a peer sent an index that is not valid: {error}"),
+        }
+    }
+}
+
 /// Reads the platform's list of VMs from time to time.
 pub async fn follow_list(node: Arc<Node>) {
     loop {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -41,6 +41,7 @@
 use member::GroupName;
 use member::Health;
 use member::Identity;
+use member::NodeState;
 use member::Outgoing;
 use member::View;
 use query::Action;
@@ -52,6 +53,7 @@
 use rand_pcg::Pcg64;
 use store::Client;
 use store::ClientOptions;
+use store::Version;
 use tokio::sync::Notify;
 use wire::BeatMessage;
 use wire::BeatReply;
@@ -88,7 +90,7 @@
     conf: Mutex<InForce>,
     view: Mutex<View>,
     epoch: AtomicU64,
-    indexes: RwLock<BTreeMap<IndexName, Arc<IndexState>>>,
+    indexes: RwLock<BTreeMap<IndexName, (Version, Arc<IndexState>)>>,
     limits: Mutex<Limits>,
     released: Notify,
     heard: Mutex<HashMap<UpstreamId, Instant>>,
@@ -231,6 +233,7 @@
     /// Records that the platform had a revision as its newest at a moment.
     pub fn confirm(&self, revision: Revision, at: Instant) {
         lock(&self.conf).confirm(revision, at);
+        lock(&self.view).confirm(revision, at);
     }
 
     /// Returns what a peer at a revision needs.
@@ -250,15 +253,59 @@
         lock(&self.limits).retain_services(|service| catalogue.entries.contains_key(service));
     }
 
-    /// Takes in the state of an index as the platform holds it.
-    pub fn set_index(&self, index: IndexState) {
-        lock(&self.view).set_upstreams(&index.index, &index.upstreams, Instant::now());
+    /// Takes in the state of an index at a version of its object in the platform; an older one is ignored.
+    pub fn set_index(&self, version: Version, index: IndexState) {
         let mut indexes = self.indexes.write().unwrap_or_else(PoisonError::into_inner);
-        indexes.insert(index.index.clone(), Arc::new(index));
+        if indexes
+            .get(&index.index)
+            .is_some_and(|(known, _)| *known >= version)
+        {
+            return;
+        }
+        let index = Arc::new(index);
+        indexes.insert(index.index.clone(), (version, index.clone()));
         drop(indexes);
+        lock(&self.view).set_upstreams(&index.index, &index.upstreams, Instant::now());
         self.refresh_shares();
     }
 
+    /// Returns the highest version of an index object that this node has.
+    pub fn index_version(&self) -> Version {
+        let indexes = self.indexes.read().unwrap_or_else(PoisonError::into_inner);
+        indexes
+            .values()
+            .map(|(version, _)| *version)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the indexes whose objects are newer than a version.
+    pub fn indexes_after(&self, after: Version) -> Vec<(Version, Arc<IndexState>)> {
+        let indexes = self.indexes.read().unwrap_or_else(PoisonError::into_inner);
+        indexes
+            .values()
+            .filter(|(version, _)| *version > after)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns a live peer drawn at random, or a seed when no peer is known.
+    pub fn random_peer(&self) -> Option<SocketAddr> {
+        let draw = lock(&self.ids).rng.next_u64() as usize;
+        let view = lock(&self.view);
+        let peers: Vec<SocketAddr> = view
+            .nodes()
+            .filter(|node| node.record.id != self.settings.node && node.state() == NodeState::Live)
+            .map(|node| node.record.addr)
+            .collect();
+        let known = if peers.is_empty() {
+            &self.settings.seeds
+        } else {
+            &peers
+        };
+        (!known.is_empty()).then(|| known[draw % known.len()])
+    }
+
     /// Takes in the platform's list of VMs.
     pub fn set_list(&self, list: &[Vm]) {
         lock(&self.view).set_list(list, Instant::now());
@@ -271,7 +318,11 @@
         let mut view = lock(&self.view);
         let outgoing = view.tick(Instant::now(), &mut lock(&self.ids).rng);
         let epoch = view.epoch();
+        let confirmation = view.confirmation();
         drop(view);
+        if let Some((revision, at)) = confirmation {
+            lock(&self.conf).confirm(revision, at);
+        }
         if self.epoch.swap(epoch, Ordering::SeqCst) != epoch {
             self.refresh_shares();
         }
@@ -334,7 +385,7 @@
     fn refresh_shares(&self) {
         let view = lock(&self.view);
         let mut limits = lock(&self.limits);
-        for index in self
+        for (_, index) in self
             .indexes
             .read()
             .unwrap_or_else(PoisonError::into_inner)
@@ -379,7 +430,7 @@
         let now = Instant::now();
         let view = lock(&self.view);
         let mut limits = lock(&self.limits);
-        for index in self
+        for (_, index) in self
             .indexes
             .read()
             .unwrap_or_else(PoisonError::into_inner)
@@ -410,7 +461,7 @@
             {
                 continue;
             }
-            let Some(index) = indexes.get(&group.index) else {
+            let Some((_, index)) = indexes.get(&group.index) else {
                 continue;
             };
             for id in &group.upstreams {
@@ -437,7 +488,7 @@
             .read()
             .unwrap_or_else(PoisonError::into_inner)
             .get(name)
-            .cloned()
+            .map(|(_, index)| index.clone())
     }
 
     /// Returns the number of indexes known.
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -11,6 +11,9 @@
 use wire::CancelRequest;
 use wire::ClaimReply;
 use wire::ClaimRequest;
+use wire::IndexObject;
+use wire::IndexReply;
+use wire::IndexRequest;
 use wire::PullReply;
 use wire::PullRequest;
 use wire::ScatterRequest;
@@ -64,6 +67,24 @@
         }))
     }
 
+    async fn indexes(
+        &self,
+        request: Request<IndexRequest>,
+    ) -> Result<Response<IndexReply>, Status> {
+        let indexes = self.node.indexes_after(request.get_ref().after).into_iter();
+        let objects = indexes.map(|(version, index)| {
+            let state =
+                serde_json::to_vec(&*index).map_err(|error| Status::internal(error.to_string()))?;
+            Ok(IndexObject {
+                version,
+                state: state.into(),
+            })
+        });
+        Ok(Response::new(IndexReply {
+            objects: objects.collect::<Result<_, Status>>()?,
+        }))
+    }
+
     async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
         let request = read_request(request.into_inner());
         let request = request.ok_or_else(|| Status::invalid_argument("the claim is not valid"))?;
--- a/crates/limpetwick/tests/fleet/mod.rs
+++ b/crates/limpetwick/tests/fleet/mod.rs
@@ -143,11 +143,7 @@
         let path = path.to_str().expect("the path is text");
         Process::start(&["lab", "vm", "--settings", path]).wait();
         let process = Process::start(&["serve", "--settings", path]);
-        self.entries.push(EntryVm {
-            process,
-            listen,
-            peer,
-        });
+        self.entries.push(EntryVm { process, listen });
     }
 
     /// Publishes the examples and returns the exit code.
--- a/crates/member/src/beat.rs
+++ b/crates/member/src/beat.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use base::NodeId;
+use base::RegionName;
 use base::ZoneName;
 use prost::Message;
 use rand::Rng;
@@ -15,10 +16,10 @@
 use wire::FailureReport;
 use wire::NodeRecord;
 use wire::Pulses;
-use wire::UpstreamRecord;
 
 use crate::NodeKey;
 use crate::NodeState;
+use crate::Record;
 use crate::Summary;
 use crate::View;
 use crate::spread::Item;
@@ -29,7 +30,9 @@
 use crate::timing::PULSES;
 use crate::timing::REMOTE_BYTES;
 use crate::timing::REMOTE_PERIOD;
+use crate::timing::REMOTE_PERIOD_MIN;
 use crate::timing::REMOTE_PERIOD_PER_NODE;
+use crate::timing::REPLY_BYTES;
 use crate::timing::URGENT_BYTES;
 use crate::timing::URGENT_PERIOD;
 use crate::timing::WANTED;
@@ -76,12 +79,25 @@
 }
 
 /// A message under composition with its bytes left.
-struct Draft {
-    beat: BeatMessage,
+pub(crate) struct Draft {
+    pub(crate) beat: BeatMessage,
     left: usize,
+    /// Zone and region of the VM that sends the heartbeat; records leave them out when they are the same.
+    zone: ZoneName,
+    region: RegionName,
 }
 
 impl Draft {
+    /// Starts the changing part of a reply to a heartbeat.
+    pub(crate) fn for_reply(sender: &Record) -> Draft {
+        Draft {
+            beat: BeatMessage::default(),
+            left: REPLY_BYTES,
+            zone: sender.zone.clone(),
+            region: sender.region.clone(),
+        }
+    }
+
     /// Takes the bytes of one embedded message, which costs a tag and a length of up to two bytes besides.
     fn fits(&mut self, message: &impl Message, reserve: usize) -> bool {
         let bytes = message.encoded_len() + 3;
@@ -123,7 +139,7 @@
     /// Returns the period of heartbeats to other zones, shorter in a small zone so that the zone is heard as often.
     fn remote_period(&self) -> Duration {
         let members = self.zones[&self.me.zone].members.len() as u32;
-        (REMOTE_PERIOD_PER_NODE * members).clamp(BEAT_PERIOD, REMOTE_PERIOD)
+        (REMOTE_PERIOD_PER_NODE * members).clamp(REMOTE_PERIOD_MIN, REMOTE_PERIOD)
     }
 
     fn send_urgent(&mut self, now: Instant, rng: &mut dyn Rng, out: &mut Vec<Outgoing>) {
@@ -132,20 +148,27 @@
         }
         let zone = self.me.zone.clone();
         let mut peers: Vec<NodeKey> = [
-            self.pick_peer(&zone, rng),
             self.pick_peer(&zone, rng),
             self.pick_remote(rng),
+            self.pick_peer(&zone, rng),
         ]
         .into_iter()
         .flatten()
         .collect();
-        peers.dedup();
+        if peers.len() > 2 && peers[0] == peers[2] {
+            peers.pop();
+        }
+        if peers.is_empty() {
+            return;
+        }
         let beat = self.compose_urgent(now);
-        let bytes = peers.len() * (beat.encoded_len() + MESSAGE_OVERHEAD);
-        if self.budget.available(now) < bytes {
+        let bytes = beat.encoded_len() + MESSAGE_OVERHEAD;
+        // Fewer peers now inform more nodes than the same number of peers later.
+        peers.truncate(self.budget.available(now) / bytes);
+        if peers.is_empty() {
             return;
         }
-        self.budget.spend(bytes);
+        self.budget.spend(peers.len() * bytes);
         self.rounds -= 1;
         self.next_urgent = now + URGENT_PERIOD;
         for peer in peers {
@@ -201,15 +224,18 @@
         let beat = BeatMessage {
             sender: Some(self.me.to_message()),
             clock: self.clock.read(now),
+            confirmation: self.confirmed.to_wire(now),
             ..Default::default()
         };
         Draft {
             left: bytes.saturating_sub(beat.encoded_len()),
             beat,
+            zone: self.me.zone.clone(),
+            region: self.me.region.clone(),
         }
     }
 
-    fn add_changes(&mut self, draft: &mut Draft, least: Urgency, reserve: usize) {
+    pub(crate) fn add_changes(&mut self, draft: &mut Draft, least: Urgency, reserve: usize) {
         for item in self.spread.ranked(least) {
             let added = match &item {
                 Item::Node(id) => self.add_node(draft, id, reserve),
@@ -226,7 +252,7 @@
 
     fn add_node(&self, draft: &mut Draft, id: &NodeId, reserve: usize) -> Option<bool> {
         let record = &self.node(id)?.record;
-        let wire = record.to_wire(&self.me.zone, &self.me.region);
+        let wire = record.to_wire(&draft.zone, &draft.region);
         let fits = draft.fits(&wire, reserve);
         if fits {
             draft.beat.nodes.push(wire);
@@ -235,15 +261,7 @@
     }
 
     fn add_upstream(&self, draft: &mut Draft, id: &str, reserve: usize) -> Option<bool> {
-        let entry = self.upstreams.get(id)?;
-        let mut wire = UpstreamRecord {
-            id: id.to_string(),
-            epoch: entry.epoch,
-            ..Default::default()
-        };
-        if entry.draining {
-            wire.set_state(wire::UpstreamState::Draining);
-        }
+        let wire = self.upstreams.get(id)?.to_wire(id);
         let fits = draft.fits(&wire, reserve);
         if fits {
             draft.beat.upstreams.push(wire);
@@ -295,7 +313,7 @@
         };
         let mut keys = Vec::with_capacity(3 * fresh.len());
         for node in &fresh {
-            keys.extend_from_slice(&node.record.pulse_key().to_be_bytes()[1..]);
+            keys.extend_from_slice(&node.pulse.to_be_bytes()[1..]);
         }
         pulses.keys = keys.into();
         let lags = fresh.iter().map(|node| lag(clock, node.record.counter));
@@ -307,19 +325,24 @@
         pulses
     }
 
-    fn add_zones(&mut self, draft: &mut Draft) {
-        for _ in 0..ZONES.min(self.zones.len()) {
+    pub(crate) fn add_zones(&mut self, draft: &mut Draft) {
+        let mut added = 0;
+        for _ in 0..self.zones.len() {
             let Some(name) = next_key(&self.zones, &self.zone_cursor) else {
                 return;
             };
-            let summary = &self.zones[&name].summary;
+            let zone = &self.zones[&name];
             self.zone_cursor = name.clone();
-            if name == self.me.zone || summary.clock == 0 {
+            if name == draft.zone || !zone.reachable || zone.summary.clock == 0 {
                 continue;
             }
-            let wire = summary.to_wire(&name);
+            let wire = zone.summary.to_wire(&name);
             if draft.fits(&wire, 0) {
                 draft.beat.zones.push(wire);
+                added += 1;
+            }
+            if added == ZONES {
+                return;
             }
         }
     }
@@ -402,7 +425,7 @@
         for _ in 0..DRAWS {
             let key = members[draw_below(rng, members.len())?];
             let node = &self.nodes[key];
-            if node.record.id == self.me.id || node.record.state == NodeState::Dead {
+            if key == self.my_key || node.record.state == NodeState::Dead {
                 continue;
             }
             last = Some(key);
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod beat;
 mod clock;
+mod confirm;
 mod group;
 mod node;
 mod receive;
--- a/crates/member/src/node.rs
+++ b/crates/member/src/node.rs
@@ -171,6 +171,8 @@
     pub record: Record,
     /// Its counter has stopped; known only for VMs of the own zone.
     pub(crate) silent: bool,
+    /// Key in pulses, kept because it is read for each VM in each heartbeat.
+    pub(crate) pulse: u32,
     /// Moment when its counter last rose here.
     pub(crate) advanced: Instant,
     /// Moment when the platform's list last named it.
@@ -180,6 +182,7 @@
 impl Node {
     pub(crate) fn new(record: Record, now: Instant) -> Node {
         Node {
+            pulse: record.pulse_key(),
             record,
             silent: false,
             advanced: now,
--- a/crates/member/src/receive.rs
+++ b/crates/member/src/receive.rs
@@ -17,9 +17,11 @@
 use crate::Record;
 use crate::Summary;
 use crate::View;
+use crate::beat::Draft;
 use crate::spread::Item;
 use crate::spread::Urgency;
 use crate::timing::BEAT_BYTES;
+use crate::timing::DRAINS_AT_START;
 use crate::timing::WANTED;
 use crate::upstream::Entry;
 use crate::zone::Zone;
@@ -27,7 +29,8 @@
 impl View {
     /// Merges a heartbeat and returns the reply, which holds only what the sender lacks.
     ///
-    /// Merging is commutative and idempotent, so heartbeats may be lost, repeated and reordered.
+    /// Merging is commutative and idempotent, so heartbeats may be lost, repeated and reordered. Counters of VMs without
+    /// a record are skipped; their records are asked for with the next heartbeat.
     pub fn receive(&mut self, beat: &BeatMessage, now: Instant) -> BeatReply {
         self.notice_pause(now);
         let sender = beat.sender.as_ref();
@@ -37,7 +40,8 @@
         if sender.zone == self.me.zone {
             self.clock.adopt(beat.clock, now);
         }
-        self.merge_node(&sender, now);
+        self.confirmed.merge(beat.confirmation.as_ref(), now);
+        let started = self.merge_node(&sender, now) == Change::State;
         let bridges = beat.zones.iter().flat_map(|zone| &zone.bridges);
         for wire in beat.nodes.iter().chain(bridges) {
             if let Some(record) = Record::from_wire(wire, &sender.zone, &sender.region) {
@@ -58,7 +62,11 @@
         for zone in &beat.zones {
             self.merge_zone(zone, now);
         }
-        self.reply(beat, &sender, now)
+        let mut reply = self.reply(beat, &sender, now);
+        if started {
+            reply.upstreams = self.drains();
+        }
+        reply
     }
 
     /// Merges the reply to a heartbeat that this VM sent.
@@ -70,17 +78,37 @@
                 self.merge_node(&record, now);
             }
         }
+        for wire in &reply.upstreams {
+            self.merge_upstream(wire, now);
+        }
+        for report in &reply.reports {
+            self.merge_report(report, now);
+        }
+        for zone in &reply.zones {
+            self.merge_zone(zone, now);
+        }
+        self.confirmed.merge(reply.confirmation.as_ref(), now);
         if let Some(pulses) = &reply.pulses {
             self.clock.adopt(pulses.clock, now);
             self.merge_pulses(pulses, now);
         }
     }
 
-    fn reply(&self, beat: &BeatMessage, sender: &Record, now: Instant) -> BeatReply {
-        let mut reply = BeatReply::default();
-        if sender.zone != self.me.zone {
-            return reply;
+    fn reply(&mut self, beat: &BeatMessage, sender: &Record, now: Instant) -> BeatReply {
+        let mut draft = Draft::for_reply(sender);
+        // An urgent heartbeat has neither counters nor summaries, and its sender has the news already.
+        if beat.pulses.is_some() || !beat.zones.is_empty() {
+            self.add_changes(&mut draft, Urgency::Report, 0);
+            self.add_zones(&mut draft);
         }
+        let mut reply = BeatReply {
+            nodes: draft.beat.nodes,
+            upstreams: draft.beat.upstreams,
+            zones: draft.beat.zones,
+            reports: draft.beat.reports,
+            pulses: None,
+            confirmation: self.confirmed.to_wire(now),
+        };
         let known = self.node(&sender.id).map(|node| &node.record);
         let stale = known.filter(|known| {
             known.incarnation > sender.incarnation
@@ -93,22 +121,50 @@
             .filter_map(|key| self.by_pulse.get(key))
             .map(|&key| &self.nodes[key].record);
         for record in stale.into_iter().chain(wanted) {
-            let wire = record.to_wire(&self.me.zone, &self.me.region);
+            let wire = record.to_wire(&sender.zone, &sender.region);
             reply.nodes.push(wire);
         }
-        if beat.pulses.is_some() {
+        if beat.pulses.is_some() && sender.zone == self.me.zone {
             reply.pulses = Some(self.pulses(BEAT_BYTES, now));
         }
         reply
     }
 
-    fn merge_node(&mut self, record: &Record, now: Instant) {
+    /// Returns draining upstreams for a VM that has just started and missed the changes of the last seconds.
+    fn drains(&self) -> Vec<UpstreamRecord> {
+        let entries = self
+            .exceptions
+            .iter()
+            .filter_map(|id| Some((id, self.upstreams.get(id)?)))
+            .filter(|(_, entry)| entry.draining);
+        let mut newest: Vec<(&UpstreamId, &Entry)> = entries.collect();
+        newest.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.changed));
+        newest.truncate(DRAINS_AT_START);
+        newest
+            .into_iter()
+            .map(|(id, entry)| entry.to_wire(id))
+            .collect()
+    }
+
+    /// Repeats all drains within the periodic heartbeats, for a zone that missed those of a partition.
+    fn repeat_drains(&mut self, now: Instant) {
+        let draining = self.exceptions.iter().filter(|id| {
+            let entry = self.upstreams.get(*id);
+            entry.is_some_and(|entry| entry.draining)
+        });
+        for id in draining {
+            let item = Item::Upstream(id.clone());
+            self.spread.add_missing(item, Urgency::Ordinary, now);
+        }
+    }
+
+    fn merge_node(&mut self, record: &Record, now: Instant) -> Change {
         if record.id == self.me.id {
             let refuted = record.incarnation == self.me.incarnation && record.state > self.me.state;
             if record.incarnation > self.me.incarnation || refuted {
                 self.raise(record.incarnation, now);
             }
-            return;
+            return Change::None;
         }
         let was_known = self.by_id.get(&record.id).copied();
         let change = match was_known {
@@ -127,17 +183,17 @@
             } else {
                 Urgency::Ordinary
             };
-            self.spread.add(Item::Node(record.id.clone()), urgency);
+            self.spread.add(Item::Node(record.id.clone()), urgency, now);
             if urgent {
                 self.hurry(now);
             }
         }
+        change
     }
 
     fn merge_known(&mut self, key: NodeKey, record: &Record, now: Instant) -> Change {
         let node = &mut self.nodes[key];
         let before = (node.record.incarnation, node.record.counter);
-        let pulse = node.record.pulse_key();
         let zone = node.record.zone.clone();
         let change = node.record.merge(record);
         if (node.record.incarnation, node.record.counter) > before {
@@ -146,9 +202,8 @@
             node.silent = false;
         }
         if node.record.incarnation != before.0 {
-            let new_pulse = node.record.pulse_key();
             let new_zone = node.record.zone.clone();
-            self.move_pulse(key, pulse, new_pulse);
+            self.move_pulse(key);
             if new_zone != zone {
                 self.move_node(key, &zone, new_zone, now);
             }
@@ -157,11 +212,14 @@
     }
 
     /// Moves a VM to the pulse key of its new incarnation.
-    pub(crate) fn move_pulse(&mut self, key: NodeKey, from: u32, to: u32) {
-        if self.by_pulse.get(&from) == Some(&key) {
-            self.by_pulse.remove(&from);
+    pub(crate) fn move_pulse(&mut self, key: NodeKey) {
+        let node = &mut self.nodes[key];
+        let old = std::mem::replace(&mut node.pulse, node.record.pulse_key());
+        let new = node.pulse;
+        if self.by_pulse.get(&old) == Some(&key) {
+            self.by_pulse.remove(&old);
         }
-        self.by_pulse.insert(to, key);
+        self.by_pulse.insert(new, key);
     }
 
     /// Moves a VM that restarted in another zone.
@@ -182,10 +240,10 @@
                 }
                 continue;
             };
-            let node = &mut self.nodes[node];
-            if node.record.id == self.me.id {
+            if node == self.my_key {
                 continue;
             }
+            let node = &mut self.nodes[node];
             let counter = pulses.clock.saturating_sub(u64::from(lag));
             if counter > node.record.counter {
                 node.record.counter = counter;
@@ -214,7 +272,7 @@
         } else if entry.epoch > wire.epoch {
             // The other node has missed the later state.
             self.spread
-                .add_missing(Item::Upstream(id), Urgency::Ordinary);
+                .add_missing(Item::Upstream(id), Urgency::Ordinary, now);
         }
     }
 
@@ -225,7 +283,7 @@
         let reporter = report.reporter.as_str().into();
         if entry.report(&reporter, report.sequence, now) {
             let item = Item::Report(report.upstream.as_str().into(), reporter);
-            self.spread.add(item, Urgency::Report);
+            self.spread.add(item, Urgency::Report, now);
         }
     }
 
@@ -242,6 +300,7 @@
         if zone.merge(Summary::from_wire(wire), now) && !zone.reachable {
             zone.reachable = true;
             self.epoch += 1;
+            self.repeat_drains(now);
         }
     }
 }
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -1,10 +1,12 @@
 //! The changes that a node still repeats to its peers, freshest first.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use base::NodeId;
 use base::UpstreamId;
 
+use crate::timing::REPEAT_TIME;
 use crate::timing::REPEATS;
 
 /// What has changed.
@@ -29,9 +31,10 @@
     urgency: Urgency,
     sent: u32,
     order: u64,
+    added: Instant,
 }
 
-/// Changes that are repeated a bounded number of times; later ones replace earlier ones of the same subject.
+/// Changes that are repeated for a bounded time; later ones replace earlier ones of the same subject.
 #[derive(Debug, Default)]
 pub(crate) struct Spread {
     pending: BTreeMap<Item, Pending>,
@@ -39,7 +42,7 @@
 }
 
 impl Spread {
-    pub(crate) fn add(&mut self, item: Item, urgency: Urgency) {
+    pub(crate) fn add(&mut self, item: Item, urgency: Urgency, now: Instant) {
         self.order += 1;
         let order = self.order;
         self.pending.insert(
@@ -48,14 +51,15 @@
                 urgency,
                 sent: 0,
                 order,
+                added: now,
             },
         );
     }
 
     /// Adds a change unless it is still being repeated.
-    pub(crate) fn add_missing(&mut self, item: Item, urgency: Urgency) {
+    pub(crate) fn add_missing(&mut self, item: Item, urgency: Urgency, now: Instant) {
         if !self.pending.contains_key(&item) {
-            self.add(item, urgency);
+            self.add(item, urgency, now);
         }
     }
 
@@ -70,16 +74,20 @@
         ranked.into_iter().map(|(item, _)| item.clone()).collect()
     }
 
-    /// Records that a change was sent, and forgets it after the last repetition.
+    /// Records that a change was sent.
     pub(crate) fn mark_sent(&mut self, item: &Item) {
         if let Some(pending) = self.pending.get_mut(item) {
             pending.sent += 1;
-            if pending.sent >= REPEATS {
-                self.pending.remove(item);
-            }
         }
     }
 
+    /// Forgets changes that were repeated long and often enough.
+    pub(crate) fn forget_old(&mut self, now: Instant) {
+        self.pending.retain(|_, pending| {
+            pending.sent < REPEATS || now.saturating_duration_since(pending.added) < REPEAT_TIME
+        });
+    }
+
     pub(crate) fn remove(&mut self, item: &Item) {
         self.pending.remove(item);
     }
--- a/crates/member/src/timing.rs
+++ b/crates/member/src/timing.rs
@@ -1,4 +1,4 @@
-//! Periods, bounds and byte budgets; the figures are derived in `docs/design.md`, section 5, "Membership".
+//! Periods, bounds and byte budgets, chosen for the sizes in `docs/design.md`, section 2.
 
 use std::time::Duration;
 
@@ -14,16 +14,19 @@
 /// Mean period of heartbeats to other zones from a VM of a large zone.
 pub(crate) const REMOTE_PERIOD: Duration = Duration::from_secs(3);
 
-/// Period of heartbeats to other zones per VM of the own zone, which makes a zone of three VMs as audible as one of 50.
-pub(crate) const REMOTE_PERIOD_PER_NODE: Duration = Duration::from_millis(60);
+/// Shortest mean period of heartbeats to other zones.
+pub(crate) const REMOTE_PERIOD_MIN: Duration = Duration::from_secs(1);
+
+/// Period of heartbeats to other zones per VM of the own zone, so that a small zone is heard as often as a large one.
+pub(crate) const REMOTE_PERIOD_PER_NODE: Duration = Duration::from_millis(100);
 
 /// Distance between the rounds in which an urgent change is sent on.
 pub(crate) const URGENT_PERIOD: Duration = Duration::from_millis(200);
 
 /// Rounds in which a node sends an urgent change on.
 ///
-/// Two rounds to three peers miss about one node in 400, which the periodic heartbeats then inform.
-pub(crate) const URGENT_ROUNDS: u8 = 2;
+/// Three rounds to three peers miss about one node in 8,000, which the periodic heartbeats then inform.
+pub(crate) const URGENT_ROUNDS: u8 = 3;
 
 /// Distance between two scans for silent VMs.
 pub(crate) const SCAN_PERIOD: Duration = Duration::from_millis(500);
@@ -33,6 +36,9 @@
 /// A counter needs about 4.5 s to reach all of 98 VMs at 2.5 heartbeats/s; the rest tolerates lost messages.
 pub(crate) const SUSPECT_AFTER: Duration = Duration::from_secs(8);
 
+/// A VM whose counter has not risen for this long is slow; in an undisturbed zone of 98 VMs, fewer than 1% are.
+pub(crate) const SLOW_AFTER: Duration = Duration::from_secs(5);
+
 /// A suspected VM is declared dead when its counter has not risen for this long.
 pub(crate) const DEAD_AFTER: Duration = Duration::from_secs(16);
 
@@ -72,13 +78,17 @@
 /// Most message bytes of a heartbeat to another zone.
 pub(crate) const REMOTE_BYTES: usize = 400;
 
+/// Most bytes of changes and summaries in a reply, besides the counters.
+pub(crate) const REPLY_BYTES: usize = 400;
+
 /// Most message bytes of an urgent heartbeat.
 pub(crate) const URGENT_BYTES: usize = 1_000;
 
 /// Sustained bytes per second of urgent heartbeats.
 ///
-/// The periodic ones take about 2 KB/s to send and as much to receive, and the page's changes about 100 bytes/s.
-pub(crate) const URGENT_RATE: f64 = 400.0;
+/// The periodic ones take about 2 KB/s to send and as much to receive; the page's changes, one in 54 s, add about 100
+/// bytes/s. Under a storm of changes the bytes sent still stay below 4 KB/s.
+pub(crate) const URGENT_RATE: f64 = 1_000.0;
 
 /// Bytes of urgent heartbeats that may be sent in one burst; enough for about ten changes in a row.
 pub(crate) const URGENT_BURST: f64 = 16_384.0;
@@ -92,5 +102,13 @@
 /// Most records that one heartbeat asks for, so that the replies stay within the byte budget.
 pub(crate) const WANTED: usize = 8;
 
-/// Heartbeats in which a node repeats a change before it is left to rotation.
-pub(crate) const REPEATS: u32 = 12;
+/// Most draining upstreams that a reply tells a VM that has just started.
+pub(crate) const DRAINS_AT_START: usize = 32;
+
+/// Time for which a node repeats a change before it is left to rotation.
+///
+/// It is a time rather than a count, because a node that receives many copies at once would use up a count at once.
+pub(crate) const REPEAT_TIME: Duration = Duration::from_secs(5);
+
+/// Fewest messages in which a node repeats a change, however long the queue of changes is.
+pub(crate) const REPEATS: u32 = 4;
--- a/crates/member/src/upstream.rs
+++ b/crates/member/src/upstream.rs
@@ -6,6 +6,7 @@
 use base::NodeId;
 use base::UpstreamState;
 use base::ZoneName;
+use wire::UpstreamRecord;
 
 use crate::GroupName;
 use crate::timing::DRAIN_HOLD;
@@ -83,6 +84,18 @@
         }
     }
 
+    pub(crate) fn to_wire(&self, id: &str) -> UpstreamRecord {
+        let mut wire = UpstreamRecord {
+            id: id.to_string(),
+            epoch: self.epoch,
+            ..Default::default()
+        };
+        if self.draining {
+            wire.set_state(wire::UpstreamState::Draining);
+        }
+        wire
+    }
+
     /// Merges the state that another node spreads; returns whether it changed.
     pub(crate) fn merge(&mut self, epoch: u64, draining: bool, now: Instant) -> bool {
         if (epoch, draining) <= (self.epoch, self.draining) {
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -29,7 +29,9 @@
 use crate::Summary;
 use crate::clock::ByteBudget;
 use crate::clock::ZoneClock;
+use crate::confirm::Confirmed;
 use crate::group::divide_upstreams;
+use crate::scan::is_large_share;
 use crate::spread::Item;
 use crate::spread::Spread;
 use crate::spread::Urgency;
@@ -65,6 +67,7 @@
 #[derive(Debug)]
 pub struct View {
     pub(crate) me: Record,
+    pub(crate) my_key: NodeKey,
     pub(crate) nodes: SlotMap<NodeKey, Node>,
     pub(crate) by_id: BTreeMap<NodeId, NodeKey>,
     pub(crate) by_pulse: HashMap<u32, NodeKey>,
@@ -77,8 +80,10 @@
     pub(crate) budget: ByteBudget,
     pub(crate) wanted: BTreeSet<u32>,
     pub(crate) newest: Option<(Revision, NodeId)>,
+    pub(crate) confirmed: Confirmed,
     pub(crate) listed: bool,
     pub(crate) peak: (u32, Instant),
+    pub(crate) partitioned: Option<Instant>,
     pub(crate) epoch: u64,
     pub(crate) rounds: u8,
     pub(crate) next_urgent: Instant,
@@ -106,6 +111,7 @@
             revision: 0,
         };
         let mut view = View {
+            my_key: NodeKey::default(),
             nodes: SlotMap::with_key(),
             by_id: BTreeMap::new(),
             by_pulse: HashMap::new(),
@@ -118,10 +124,13 @@
             budget: ByteBudget::new(URGENT_RATE, URGENT_BURST, now),
             wanted: BTreeSet::new(),
             newest: None,
+            confirmed: Confirmed::default(),
             listed: false,
             peak: (1, now),
+            partitioned: None,
             epoch: 0,
-            rounds: 0,
+            // A new VM announces itself at once, and the replies tell it what it has missed.
+            rounds: URGENT_ROUNDS,
             next_urgent: now,
             next_beat: None,
             next_remote: None,
@@ -133,7 +142,7 @@
             last: now,
             me: me.clone(),
         };
-        view.insert_node(me, now);
+        view.my_key = view.insert_node(me, now);
         view
     }
 
@@ -206,9 +215,28 @@
             };
             self.nodes[key].listed = Some(now);
         }
+        self.distrust_losses(now);
         self.epoch += 1;
     }
 
+    /// Keeps what a list has lost when it is a large share of the fleet, since the list is then more likely wrong.
+    fn distrust_losses(&mut self, now: Instant) {
+        let listed =
+            |node: &&mut Node| node.listed.is_some() && node.record.state != NodeState::Dead;
+        let known = self.nodes.values_mut().filter(listed).count();
+        let kept = self
+            .nodes
+            .values_mut()
+            .filter(listed)
+            .filter(|node| node.listed == Some(now))
+            .count();
+        if is_large_share(known - kept, known) {
+            for node in self.nodes.values_mut().filter(listed) {
+                node.listed = Some(now);
+            }
+        }
+    }
+
     /// Replaces what the platform says of the upstreams of one index.
     ///
     /// Upstreams that are not named any more are `Gone` here; this is not spread, since the platform's reads may lag.
@@ -320,17 +348,17 @@
         }
         if entry.report(&self.me.id, sequence, now) {
             let item = Item::Report(upstream.clone(), self.me.id.clone());
-            self.spread.add(item, Urgency::Report);
+            self.spread.add(item, Urgency::Report, now);
         }
     }
 
     pub(crate) fn spread_upstream(&mut self, id: UpstreamId, drains: bool, now: Instant) {
         self.exceptions.insert(id.clone());
         if drains {
-            self.spread.add(Item::Upstream(id), Urgency::Drain);
+            self.spread.add(Item::Upstream(id), Urgency::Drain, now);
             self.hurry(now);
         } else {
-            self.spread.add(Item::Upstream(id), Urgency::Ordinary);
+            self.spread.add(Item::Upstream(id), Urgency::Ordinary, now);
         }
     }
 
@@ -350,9 +378,9 @@
 
     pub(crate) fn insert_node(&mut self, record: Record, now: Instant) -> NodeKey {
         let id = record.id.clone();
-        let pulse = record.pulse_key();
         let zone = record.zone.clone();
         let key = self.nodes.insert(Node::new(record, now));
+        let pulse = self.nodes[key].pulse;
         self.by_id.insert(id, key);
         self.by_pulse.insert(pulse, key);
         let zone = self.zones.entry(zone).or_insert_with(|| Zone::new(now));
@@ -366,9 +394,8 @@
             return;
         };
         self.by_id.remove(&node.record.id);
-        let pulse = node.record.pulse_key();
-        if self.by_pulse.get(&pulse) == Some(&key) {
-            self.by_pulse.remove(&pulse);
+        if self.by_pulse.get(&node.pulse) == Some(&key) {
+            self.by_pulse.remove(&node.pulse);
         }
         if let Some(zone) = self.zones.get_mut(&node.record.zone) {
             zone.members.retain(|&member| member != key);
@@ -380,13 +407,16 @@
     /// Copies this VM's own record among the others, so that roles and counts include it.
     pub(crate) fn store_me(&mut self, now: Instant) {
         self.me.counter = self.me.counter.max(self.clock.read(now));
-        let key = self.by_id[&self.me.id];
-        let node = &mut self.nodes[key];
+        let node = &mut self.nodes[self.my_key];
         node.advanced = now;
         node.silent = false;
-        let old = std::mem::replace(&mut node.record, self.me.clone());
-        if old.incarnation != self.me.incarnation {
-            self.move_pulse(key, old.pulse_key(), self.me.pulse_key());
+        if node.record.incarnation == self.me.incarnation {
+            node.record.counter = self.me.counter;
+            node.record.state = self.me.state;
+            node.record.revision = self.me.revision;
+        } else {
+            node.record = self.me.clone();
+            self.move_pulse(self.my_key);
         }
     }
 
@@ -395,7 +425,8 @@
         self.me.incarnation = self.me.incarnation.max(above) + 1;
         self.store_me(now);
         self.spread
-            .add(Item::Node(self.me.id.clone()), Urgency::Ordinary);
+            .add(Item::Node(self.me.id.clone()), Urgency::Ordinary, now);
+        self.hurry(now);
         self.epoch += 1;
     }
 
@@ -415,6 +446,7 @@
         for zone in self.zones.values_mut() {
             zone.advanced = now;
         }
+        self.confirmed.note_pause(now);
         self.raise(0, now);
     }
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,10 +4,10 @@
 pub struct NodeRecord {
     #[prost(string, tag = "1")]
     pub id: ::prost::alloc::string::String,
-    /// Absent when it equals the sender's zone.
+    /// Absent when it equals the zone of the VM that sent the heartbeat, in the reply too.
     #[prost(string, tag = "2")]
     pub zone: ::prost::alloc::string::String,
-    /// Absent when it equals the sender's region.
+    /// Absent when it equals the region of the VM that sent the heartbeat, in the reply too.
     #[prost(string, tag = "3")]
     pub region: ::prost::alloc::string::String,
     /// Four or sixteen bytes of IP address, then two bytes of port, in network order.
@@ -98,6 +98,14 @@
     #[prost(uint64, tag = "5")]
     pub newest: u64,
 }
+/// How recently a revision was known to be the highest in the platform.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Confirmation {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
 /// One heartbeat.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BeatMessage {
@@ -122,16 +130,30 @@
     /// Keys from earlier pulses for which the sender has no record; the reply carries the records.
     #[prost(fixed32, repeated, tag = "8")]
     pub wanted: ::prost::alloc::vec::Vec<u32>,
+    /// Absent before the first.
+    #[prost(message, optional, tag = "9")]
+    pub confirmation: ::core::option::Option<Confirmation>,
 }
 /// Answer to a heartbeat.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BeatReply {
-    /// Records that the sender wanted, and its own record when it is held to be dead.
+    /// Records that the sender wanted, its own record when it is held to be dead, and changes.
     #[prost(message, repeated, tag = "1")]
     pub nodes: ::prost::alloc::vec::Vec<NodeRecord>,
     /// Present when the heartbeat had pulses, so that one exchange informs both sides.
     #[prost(message, optional, tag = "2")]
     pub pulses: ::core::option::Option<Pulses>,
+    /// Changes; all drains when the sender's incarnation was new here.
+    #[prost(message, repeated, tag = "3")]
+    pub upstreams: ::prost::alloc::vec::Vec<UpstreamRecord>,
+    /// Summaries of zones, in rotation.
+    #[prost(message, repeated, tag = "4")]
+    pub zones: ::prost::alloc::vec::Vec<ZoneSummary>,
+    #[prost(message, repeated, tag = "5")]
+    pub reports: ::prost::alloc::vec::Vec<FailureReport>,
+    /// Absent before the first.
+    #[prost(message, optional, tag = "6")]
+    pub confirmation: ::core::option::Option<Confirmation>,
 }
 /// One sub-request to one upstream for one shard.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -256,6 +278,27 @@
     pub update: ::prost::bytes::Bytes,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct IndexRequest {
+    /// Highest version of an index object that the sender has from the platform.
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+}
+/// State of one index.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct IndexObject {
+    /// Version of the object in the platform.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// JSON of `base::IndexState`.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub state: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct IndexReply {
+    #[prost(message, repeated, tag = "1")]
+    pub objects: ::prost::alloc::vec::Vec<IndexObject>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NewClaim {}
 /// Outcome that is kept with a claim.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -637,6 +680,28 @@
             req.extensions_mut().insert(GrpcMethod::new("limpetwick.peer.Peer", "Pull"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks for the indexes that changed in the platform, by a VM that cannot reach it.
+        pub async fn indexes(
+            &mut self,
+            request: impl tonic::IntoRequest<super::IndexRequest>,
+        ) -> std::result::Result<tonic::Response<super::IndexReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/limpetwick.peer.Peer/Indexes",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("limpetwick.peer.Peer", "Indexes"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Asks the home of a ledger object to make, revoke or settle a claim.
         pub async fn claim(
             &mut self,
@@ -700,6 +765,11 @@
             &self,
             request: tonic::Request<super::PullRequest>,
         ) -> std::result::Result<tonic::Response<super::PullReply>, tonic::Status>;
+        /// Asks for the indexes that changed in the platform, by a VM that cannot reach it.
+        async fn indexes(
+            &self,
+            request: tonic::Request<super::IndexRequest>,
+        ) -> std::result::Result<tonic::Response<super::IndexReply>, tonic::Status>;
         /// Asks the home of a ledger object to make, revoke or settle a claim.
         async fn claim(
             &self,
@@ -958,6 +1028,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/limpetwick.peer.Peer/Indexes" => {
+                    #[allow(non_camel_case_types)]
+                    struct IndexesSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::IndexRequest>
+                    for IndexesSvc<T> {
+                        type Response = super::IndexReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::IndexRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::indexes(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = IndexesSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/limpetwick.peer.Peer/Claim" => {
                     #[allow(non_camel_case_types)]
                     struct ClaimSvc<T: Peer>(pub Arc<T>);
