query: match the hedge delay to the declared budget

With 1% stragglers, hedging at the 95th percentile used up a budget of 3% on replies that were hardly late, and tokens were missing for the stragglers. The default delay is now the quantile that 0.8 of the budget pays for, 97.6% for a budget of 3%. A service that declares no hedges or retries now gets none, not even from the tokens that it starts with. Shards that wait for a place register with their gates and are sent when the query is woken; the explanation counts such shards once. The test of postponed attempts now has a case for both ways, as the interval for asking again rose from 2 to 5 ms.

--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -106,7 +106,7 @@
     pub not_run: u32,
     /// Sub-requests whose reply was lost or not valid.
     pub lost: u32,
-    /// Times that a sub-request was put off because of the limits of this node.
+    /// Shards for which a sub-request was put off because of the limits of this node.
     pub postponed: u32,
     /// Parts dropped because they were late, duplicate or did not match; a reply without any counts as one.
     pub dropped: u32,
--- a/crates/query/src/bind.rs
+++ b/crates/query/src/bind.rs
@@ -5,6 +5,7 @@
 use base::IndexState;
 use base::IndexVersion;
 use base::Shard;
+use base::ShardId;
 use base::ShardMap;
 use base::Snapshot;
 use base::hash_key;
@@ -26,7 +27,8 @@
 /// A shard of a binding; the replicas are kept, since the index may change while the query runs.
 #[derive(Debug)]
 pub(crate) struct BoundShard {
-    pub(crate) shard: Shard,
+    pub(crate) id: ShardId,
+    pub(crate) members: u64,
     pub(crate) replicas: Vec<GateKey>,
 }
 
@@ -139,7 +141,8 @@
     selected
         .into_iter()
         .map(|shard| BoundShard {
-            shard: shard.clone(),
+            id: shard.id,
+            members: shard.members,
             replicas: shard
                 .replicas
                 .iter()
@@ -168,7 +171,7 @@
             servable |= open && held != Some(false);
             confirmed |= open && held == Some(true);
         }
-        reach.add(bound.shard.members, servable, confirmed);
+        reach.add(bound.members, servable, confirmed);
     }
     reach
 }
--- a/crates/query/src/machine.rs
+++ b/crates/query/src/machine.rs
@@ -59,6 +59,7 @@
     pub(crate) counts: Counts,
     pub(crate) too_late: bool,
     pub(crate) timers: BTreeSet<(Instant, ShardId)>,
+    pub(crate) postponed: BTreeSet<ShardId>,
     open: usize,
     members: u64,
     covered: u64,
@@ -80,6 +81,7 @@
             counts: Counts::default(),
             too_late: false,
             timers: BTreeSet::new(),
+            postponed: BTreeSet::new(),
             open: 0,
             members: 0,
             covered: 0,
@@ -324,6 +326,7 @@
         self.members = shards.values().map(|state| state.members).sum();
         self.covered = 0;
         self.timers.clear();
+        self.postponed.clear();
         self.shards = shards;
     }
 
@@ -332,6 +335,7 @@
             state.progress = progress;
             self.open -= 1;
             self.covered += state.covered();
+            self.postponed.remove(&shard);
             if let Some(at) = state.timer.take() {
                 self.timers.remove(&(at, shard));
             }
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -5,6 +5,8 @@
 
 use base::ShardId;
 use limit::Blocked;
+use limit::GateKey;
+use limit::Limits;
 use limit::Permit;
 
 use crate::Action;
@@ -25,8 +27,14 @@
 /// Pause before the first retry at a replica that has failed already; the second one waits twice as long.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
+/// Part of the hedge budget that the quantile plans for; the rest covers the noise of quantiles from few samples.
+const PLANNED_BUDGET: f64 = 0.8;
+
+/// Quantile for the patience of a query that prefers latency, when it neither hedges nor has a budget to derive it from.
+const PATIENCE_QUANTILE: f64 = 0.95;
+
 /// Interval at which a blocked shard asks its gates again, when no earlier wake tells that a place is free.
-const RECHECK: Duration = Duration::from_millis(2);
+const RECHECK: Duration = Duration::from_millis(5);
 
 impl Query {
     /// Binds the query to a snapshot and sends the first attempt for each shard.
@@ -41,16 +49,16 @@
         let shards = binding
             .shards
             .iter()
-            .map(|bound| (bound.shard.id, ShardState::new(bound, now)))
+            .map(|bound| (bound.id, ShardState::new(bound, now)))
             .collect();
         self.reset_shards(shards);
         for bound in &binding.shards {
-            self.set_delay(bound.shard.id, env);
-            self.send(bound.shard.id, now, env, actions);
+            self.set_delay(bound.id, env);
+            self.send(bound.id, now, env, actions);
         }
     }
 
-    /// Runs what is due: attempts that were put off, and hedges.
+    /// Runs what is due: hedges, retries, and attempts that were put off, for which a place may have come free.
     pub(crate) fn run_timers(
         &mut self,
         now: Instant,
@@ -65,12 +73,18 @@
                 continue;
             };
             state.timer = None;
+            if self.postponed.contains(&shard) {
+                continue;
+            }
             if state.live.is_empty() {
                 self.send(shard, now, env, actions);
             } else {
                 self.hedge(shard, now, env, actions);
             }
         }
+        for shard in std::mem::take(&mut self.postponed) {
+            self.send(shard, now, env, actions);
+        }
     }
 
     /// Sends the next attempt for a shard that has none outstanding, or puts it off, or gives the shard up.
@@ -102,15 +116,31 @@
             {
                 self.close(shard, Progress::Missing(MissingReason::NoReplica));
             }
-            Err(blocked) => self.postpone(shard, blocked, now),
+            Err(blocked) => self.postpone(shard, blocked, &candidates, now, env.limits),
         }
     }
 
-    fn postpone(&mut self, shard: ShardId, blocked: Blocked, now: Instant) {
-        self.counts.postponed += 1;
-        if let Some(state) = self.shards.get_mut(&shard)
-            && state.next == Kind::Primary
-        {
+    fn postpone(
+        &mut self,
+        shard: ShardId,
+        blocked: Blocked,
+        candidates: &[GateKey],
+        now: Instant,
+        limits: &mut Limits,
+    ) {
+        self.postponed.insert(shard);
+        for &key in candidates {
+            if matches!(limits.check(key, now), Err(Blocked::Limit | Blocked::Share)) {
+                limits.wait(key, self.plan.id);
+            }
+        }
+        let Some(state) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if !std::mem::replace(&mut state.postponed, true) {
+            self.counts.postponed += 1;
+        }
+        if state.next == Kind::Primary {
             state.reason = match blocked {
                 Blocked::Limit | Blocked::Share => MissingReason::Limited,
                 Blocked::Draining => MissingReason::Draining,
@@ -140,6 +170,7 @@
         *env.next_attempt += 1;
         let id = *env.next_attempt;
         state.note_sent(id, key, now);
+        self.postponed.remove(&shard);
         self.counts.attempts += 1;
         match kind {
             Kind::Primary => {}
@@ -172,7 +203,9 @@
     }
 
     fn may_hedge(&self) -> bool {
-        self.plan.repeatable && self.plan.tuning.hedging != Hedging::Off
+        self.plan.repeatable
+            && self.plan.tuning.hedging != Hedging::Off
+            && self.plan.policy.hedge_budget > 0.0
     }
 
     /// Sends a second attempt in parallel, if another replica and a token are available.
@@ -225,6 +258,7 @@
         let safe = plan.repeatable || (not_run && plan.stale.is_none());
         let usable = !state.usable(snapshot.version, env.limits, now).is_empty();
         if !plan.tuning.retry
+            || plan.policy.retry_budget <= 0.0
             || !safe
             || !usable
             || state.retries >= MAX_RETRIES
@@ -257,7 +291,11 @@
             return;
         };
         match self.plan.tuning.hedging {
-            Hedging::Off => state.set_delay(0.95, env.limits),
+            Hedging::Budget if self.plan.policy.hedge_budget > 0.0 => {
+                let planned = PLANNED_BUDGET * self.plan.policy.hedge_budget;
+                state.set_delay(1.0 - planned, env.limits);
+            }
+            Hedging::Off | Hedging::Budget => state.set_delay(PATIENCE_QUANTILE, env.limits),
             Hedging::Quantile(quantile) => state.set_delay(quantile, env.limits),
             Hedging::Fixed(delay) => state.fix_delay(delay),
         }
--- a/crates/query/src/shard.rs
+++ b/crates/query/src/shard.rs
@@ -49,6 +49,7 @@
     pub(crate) attempts: u32,
     pub(crate) retries: u32,
     pub(crate) hedged: bool,
+    pub(crate) postponed: bool,
     pub(crate) bound_at: Instant,
     pub(crate) first_sent: Option<Instant>,
     pub(crate) hedge_delay: Duration,
@@ -65,12 +66,13 @@
 impl ShardState {
     pub(crate) fn new(bound: &BoundShard, now: Instant) -> ShardState {
         ShardState {
-            members: bound.shard.members,
+            members: bound.members,
             progress: Progress::Open,
             live: Vec::new(),
             attempts: 0,
             retries: 0,
             hedged: false,
+            postponed: false,
             bound_at: now,
             first_sent: None,
             hedge_delay: FIRST_DELAY,
--- a/crates/query/src/tuning.rs
+++ b/crates/query/src/tuning.rs
@@ -7,6 +7,10 @@
 pub enum Hedging {
     /// Never.
     Off,
+    /// When the reply takes longer than the quantile that as many replies exceed as the declared budget pays for.
+    ///
+    /// At a lower quantile the tokens go to replies that are hardly late and are missing for stragglers.
+    Budget,
     /// When the reply takes longer than this quantile of the reply times of the shard's replicas.
     Quantile(f64),
     /// When the reply takes longer than a fixed time.
@@ -42,7 +46,7 @@
 impl Default for Tuning {
     fn default() -> Tuning {
         Tuning {
-            hedging: Hedging::Quantile(0.95),
+            hedging: Hedging::Budget,
             retry: true,
             restart: true,
             best_version: true,
--- a/crates/query/tests/rules.rs
+++ b/crates/query/tests/rules.rs
@@ -55,6 +55,30 @@
     }
 }
 
+/// Guards against hedges of replies that are hardly late, whose tokens are then missing for stragglers, and against
+/// hedges and retries that a service has not declared. One in 40 replies is slow.
+#[rstest]
+#[case::small(0.03, 0)]
+#[case::large(0.2, 1)]
+#[case::none(0.0, 0)]
+fn hedge_delay_follows_budget(#[case] budget: f64, #[case] expected: usize) {
+    let mut node = Node::simple(1, 2);
+    for upstream in ["0-0", "0-1"] {
+        node.prepare(upstream, 39, Ending::Replied, ms(5));
+        node.prepare(upstream, 1, Ending::Replied, ms(40));
+    }
+    let mut run = node.run(|plan| {
+        plan.policy.hedge_budget = budget;
+        plan.policy.retry_budget = 0.0;
+    });
+    run.advance(&mut node, ms(9));
+    assert_eq!(run.sent.len(), 1 + expected);
+    for at in 0..=expected {
+        run.fail(&mut node, at, Failure::Lost);
+    }
+    assert_eq!(run.finish(&mut node).explanation.retries, 0);
+}
+
 /// Guards against a loser that keeps its slot, and against its late reply being taken for another part.
 #[rstest]
 #[case::cancel(true, 1)]
@@ -238,9 +262,12 @@
     assert_eq!(node.in_flight(), held);
 }
 
-/// Guards against a shard that is given up although its gate has a place again before the deadline.
+/// Guards against a shard that is given up although its gate has a place again before the deadline, and against a place
+/// that stays empty although the query that waits for it could be woken.
 #[rstest]
-fn postponed_attempt_is_sent() {
+#[case::woken(true, 0)]
+#[case::asks_again(false, 5)]
+fn postponed_attempt_is_sent(#[case] wake: bool, #[case] wait_ms: u64) {
     let mut node = Node::simple(1, 1);
     let key = node.key("0-0");
     let permit = node.limits.acquire(key, node.now).unwrap();
@@ -249,7 +276,12 @@
     run.advance(&mut node, ms(10));
     assert!(run.sent.is_empty());
     node.limits.release(permit, Ending::Replied, node.now);
-    run.advance(&mut node, ms(2));
+    if wake {
+        assert_eq!(node.limits.next_woken(node.now), Some(1));
+        run.handle(&mut node, Event::Wake);
+        assert_eq!(node.limits.next_woken(node.now), None);
+    }
+    run.advance(&mut node, ms(wait_ms));
     run.reply(&mut node, 0);
     assert_eq!(run.finish(&mut node).code, Code::Answered);
 }
