--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -1,9 +1,11 @@
 //! The gate in front of one upstream.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
 use base::IndexVersion;
+use base::QueryId;
 use base::UpstreamId;
 use base::UpstreamState;
 
@@ -26,6 +28,9 @@
 /// Interval at which a share that was cut by a refused connection grows back by one.
 const REGROW: Duration = Duration::from_secs(5);
 
+/// Queries that may wait for a place; further ones ask again by themselves.
+const MAX_WAITERS: usize = 1_000;
+
 /// Weight of a new reply time in the moving mean.
 const MEAN_WEIGHT: f32 = 0.2;
 
@@ -95,6 +100,8 @@
     trial: bool,
     held: Option<Box<[IndexVersion]>>,
     held_sent: Option<Instant>,
+    heard: Option<Instant>,
+    waiters: VecDeque<QueryId>,
 }
 
 impl Gate {
@@ -118,6 +125,8 @@
             trial: false,
             held: None,
             held_sent: None,
+            heard: None,
+            waiters: VecDeque::new(),
         }
     }
 
@@ -176,6 +185,11 @@
         self.drained.is_some()
     }
 
+    /// Returns when the upstream last replied to anything, or `None` before its first reply.
+    pub fn last_heard(&self) -> Option<Instant> {
+        self.heard
+    }
+
     /// Tells whether the upstream is paused after consecutive failures at `now`.
     pub fn is_paused(&self, now: Instant) -> bool {
         self.paused.is_some_and(|until| now < until)
@@ -221,6 +235,21 @@
         Ok(())
     }
 
+    /// Puts a query into the line for the next free place, once.
+    pub(crate) fn wait(&mut self, query: QueryId) {
+        if self.waiters.len() < MAX_WAITERS && !self.waiters.contains(&query) {
+            self.waiters.push_back(query);
+        }
+    }
+
+    pub(crate) fn has_waiters(&self) -> bool {
+        !self.waiters.is_empty()
+    }
+
+    pub(crate) fn next_waiter(&mut self) -> Option<QueryId> {
+        self.waiters.pop_front()
+    }
+
     /// Counts an attempt in; returns whether it is the single trial after a pause.
     pub(crate) fn enter(&mut self, tuning: &Tuning, now: Instant) -> bool {
         self.share = self.share_at(now);
@@ -244,6 +273,9 @@
         if trial {
             self.trial = false;
         }
+        if matches!(ending, Ending::Replied | Ending::Shed | Ending::Rejected) {
+            self.heard = Some(now);
+        }
         let time = now.saturating_duration_since(sent);
         match ending {
             Ending::Replied => {
@@ -267,6 +299,7 @@
     ///
     /// A reply sent before the drain was seen may arrive after it and say `live`; it does not end the drain.
     pub(crate) fn note_state(&mut self, state: UpstreamState, sent: Instant, now: Instant) {
+        self.heard = Some(now);
         match state {
             UpstreamState::Draining => {
                 self.drained.get_or_insert(now);
@@ -288,11 +321,12 @@
         }
     }
 
-    /// Estimates the reply time of one more attempt, in microseconds.
-    pub(crate) fn expected_us(&self, tuning: &Tuning, now: Instant) -> f32 {
-        let in_flight = f32::from(self.in_flight);
-        let concurrency = self.concurrency(tuning, now).max(1) as f32;
-        self.decayed_mean(now) * (1.0 + in_flight / concurrency) + in_flight
+    /// Estimates how long one more attempt takes, in microseconds.
+    ///
+    /// The attempts in flight weigh in full from the first on: with a weaker weight, every query of a moment goes to
+    /// the replica whose mean is lowest by chance, and half of the capacity stays unused.
+    pub(crate) fn expected_us(&self, now: Instant) -> f32 {
+        (self.decayed_mean(now) + 1.0) * (f32::from(self.in_flight) + 1.0)
     }
 
     /// Returns the moving mean of the reply time, halved for each [`FORGET`] without a reply.
