entry: admit queries by deficit round robin and wake those that wait

Queries were limited by one counter for all services, so that a batch service could fill the node, and an upstream's free place was noticed only when the query asked again after 5 ms. Admission queues by service now, with the sum of the connection shares as its capacity, and a released permit wakes one query. lab tests whole deployments over loopback: holders, drains, and a VM that starts during a platform outage.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(settings.zone, "zurich");
 //! ```
 
+mod admission;
 mod api;
 mod claimed;
 mod control;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -55,9 +55,11 @@
 use store::ClientOptions;
 use store::Version;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
 use wire::BeatMessage;
 use wire::BeatReply;
 
+use crate::admission::Queues;
 use crate::home::Homes;
 use crate::home::read_clocks;
 use crate::metrics::Metrics;
@@ -93,6 +95,9 @@
     indexes: RwLock<BTreeMap<IndexName, (Version, Arc<IndexState>)>>,
     limits: Mutex<Limits>,
     released: Notify,
+    /// Queries that wait for admission.
+    pub queues: Queues,
+    running: Mutex<HashMap<QueryId, UnboundedSender<Event>>>,
     heard: Mutex<HashMap<UpstreamId, Instant>>,
     ids: Mutex<Ids>,
     tracked: Mutex<HashMap<AttemptId, Target>>,
@@ -186,6 +191,8 @@
             indexes: RwLock::default(),
             limits: Mutex::new(limits),
             released: Notify::new(),
+            queues: Queues::default(),
+            running: Mutex::default(),
             heard: Mutex::default(),
             ids: Mutex::new(ids),
             tracked: Mutex::default(),
@@ -383,6 +390,7 @@
 
     /// Gives every upstream the connections that the view allows this node.
     fn refresh_shares(&self) {
+        let mut capacity = 0;
         let view = lock(&self.view);
         let mut limits = lock(&self.limits);
         for (_, index) in self
@@ -394,8 +402,12 @@
             for upstream in &index.upstreams {
                 let share = view.share(&upstream.id);
                 limits.set_upstream(upstream, (share > 0).then_some(share));
+                capacity += if share > 0 { share } else { upstream.slots };
             }
         }
+        drop(limits);
+        drop(view);
+        self.queues.set_capacity(capacity);
     }
 
     /// Tells how to reach an upstream.
@@ -567,8 +579,13 @@
 
     /// Gives a permit back.
     pub fn release(&self, permit: Permit, ending: Ending) {
-        lock(&self.limits).release(permit, ending, Instant::now());
+        let now = Instant::now();
+        let mut limits = lock(&self.limits);
+        limits.release(permit, ending, now);
+        let woken = limits.next_woken(now);
+        drop(limits);
         self.released.notify_one();
+        self.wake(woken);
     }
 
     /// Lists the upstreams that take no new work, by what this node and its peers have seen.
@@ -603,7 +620,29 @@
             next_attempt: attempt,
             rng,
         };
-        query.handle(event, Instant::now(), &mut env)
+        let now = Instant::now();
+        let actions = query.handle(event, now, &mut env);
+        let woken = limits.next_woken(now);
+        drop(limits);
+        self.wake(woken);
+        actions
+    }
+
+    /// Registers a running query, so that it is woken when an upstream that it waits for has a place free.
+    pub fn register(&self, query: QueryId, events: UnboundedSender<Event>) {
+        lock(&self.running).insert(query, events);
+    }
+
+    /// Forgets a query that ended.
+    pub fn unregister(&self, query: QueryId) {
+        lock(&self.running).remove(&query);
+    }
+
+    fn wake(&self, woken: Option<QueryId>) {
+        if let Some(events) = woken.and_then(|query| lock(&self.running).get(&query).cloned()) {
+            // The query may have ended in the meantime.
+            let _ = events.send(Event::Wake);
+        }
     }
 
     /// Gives up a query and what it holds.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -24,6 +24,8 @@
 use query::Tuning;
 use serde_json::value::RawValue;
 
+use crate::admission::admit;
+use crate::admission::count_cost;
 use crate::api::AnswerBody;
 use crate::api::FailureBody;
 use crate::claimed::ClaimedEnd;
@@ -64,8 +66,25 @@
         .request(&call.request)
         .is_some_and(|request| request.repeatable);
     let mut plan = make_plan(node, &catalogue, declaration, &call, started);
+    let cost = if repeatable {
+        count_shards(node, declaration)
+    } else {
+        1
+    };
+    let admitted = admit(node, declaration, cost, plan.deadline)
+        .await
+        .map_err(|code| {
+            node.metrics.record_answer(
+                &declaration.service,
+                declaration.class,
+                code,
+                started.elapsed(),
+            );
+            FailureBody::new(code, None)
+        })?;
     if repeatable {
         let answer = run_query(node, plan, call.body).await;
+        drop(admitted);
         record_end(node, declaration, &answer, started);
         return match answer.code.outcome() {
             Some(Outcome::Answered | Outcome::Partial) => {
@@ -105,6 +124,13 @@
     make_claimed_body(end, id, key, catalogue.revision, call.explain)
 }
 
+/// Counts the sub-requests of a query, by which admission weighs it.
+fn count_shards(node: &Node, declaration: &Declaration) -> u32 {
+    let index = node.index(&declaration.index);
+    let map = index.as_ref().and_then(|index| index.maps.last());
+    map.map_or(0, |map| count_cost(map.shards.iter(), declaration))
+}
+
 /// Builds the body of a request that runs at most once, whether it ran for this call or for an earlier one.
 fn make_claimed_body(
     end: ClaimedEnd,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -24,6 +24,7 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::node::Holder;
@@ -68,18 +69,29 @@
 pub async fn run_query(node: &Arc<Node>, plan: Plan, body: Box<RawValue>) -> Answer {
     let (events, mut inbox) = mpsc::unbounded_channel();
     let mut query = Query::new(plan.clone(), Instant::now());
-    let deadline = plan.deadline;
     let shared = Arc::new(Shared {
         node: node.clone(),
         plan,
         body,
         events,
     });
+    node.register(shared.plan.id, shared.events.clone());
+    let answer = drive_query(node, &shared, &mut query, &mut inbox).await;
+    node.unregister(shared.plan.id);
+    answer
+}
+
+async fn drive_query(
+    node: &Arc<Node>,
+    shared: &Arc<Shared>,
+    query: &mut Query,
+    inbox: &mut UnboundedReceiver<Event>,
+) -> Answer {
     let mut event = Event::Start;
-    let mut wake = deadline;
+    let mut wake = shared.plan.deadline;
     loop {
         let mut attempts = Vec::new();
-        for action in node.advance(&mut query, &shared.plan.index, event) {
+        for action in node.advance(query, &shared.plan.index, event) {
             match action {
                 Action::Send(attempt) => attempts.push(attempt),
                 Action::Cancel(attempt) => node.cancel(attempt),
@@ -87,7 +99,7 @@
                 Action::Finish(answer) => return *answer,
             }
         }
-        send_attempts(&shared, attempts);
+        send_attempts(shared, attempts);
         event = tokio::select! {
             Some(event) = inbox.recv() => event,
             () = tokio::time::sleep_until(wake.into()) => Event::Wake,
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -99,6 +99,16 @@
 
     /// Starts one more entry VM.
     pub async fn start_entry(&mut self, number: u32, seed: u64) -> Result<(), RigError> {
+        self.start_entry_with_seeds(number, seed, Vec::new()).await
+    }
+
+    /// Starts one more entry VM that knows some peers.
+    pub async fn start_entry_with_seeds(
+        &mut self,
+        number: u32,
+        seed: u64,
+        seeds: Vec<SocketAddr>,
+    ) -> Result<(), RigError> {
         let zones = &self.deployment.zones;
         let zone = zones[number as usize % zones.len()].clone();
         let node = format_compact!("{zone}-{}", number as usize / zones.len() + 1);
@@ -109,7 +119,7 @@
             listen: loopback(),
             peer: loopback(),
             platform: self.platform.addr(),
-            seeds: Vec::new(),
+            seeds,
             body_limit: 1 << 20,
             query_limit: 512,
             notice: NOTICE,
--- /dev/null
+++ b/crates/lab/tests/rig.rs
@@ -0,0 +1,166 @@
+//! Whole deployments over loopback in one process.
+
+use std::time::Duration;
+
+use base::Code;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use rstest::rstest;
+use serde_json::Value;
+
+use lab::deploy::Deployment;
+use lab::deploy::build_brunner_vaucher;
+use lab::deploy::build_skiasis;
+use lab::fault::Fault;
+use lab::rig::Rig;
+
+const SEED: u64 = 11;
+
+/// Bound on waiting for a state that must come; only a broken build reaches it.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+fn make_client() -> Http {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+async fn search(http: &Http, rig: &Rig, entry: usize, service: &str) -> Value {
+    let uri = format!(
+        "http://{}/v1/services/{service}/requests/search",
+        rig.entries[entry].addr()
+    );
+    let request = Request::post(uri)
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from_static(
+            br#"{"body":{"text":"oak"},"explain":true}"#,
+        )))
+        .unwrap();
+    let response = http.request(request).await.unwrap();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    serde_json::from_slice(&body).unwrap()
+}
+
+/// Keeps one index, with fewer connections per server than the nodes would need to connect directly.
+fn shrink(mut deployment: Deployment, index: &str, connections: u32) -> Deployment {
+    deployment
+        .indexes
+        .retain(|candidate| candidate.state.index == index);
+    for index in &mut deployment.indexes {
+        for upstream in &mut index.state.upstreams {
+            upstream.connections = connections;
+        }
+        for server in &mut index.servers {
+            server.connections = connections;
+        }
+    }
+    deployment
+}
+
+/// Guards against direct connections beyond a server's limit when nodes outnumber its connections, and against parts
+/// that are lost or doubled on the way through a holder.
+#[rstest]
+#[case::latency_first(build_brunner_vaucher(SEED), "plan-desk", "advisers", &[Code::Answered, Code::PartialDeadline])]
+#[case::coverage_first(build_skiasis(SEED), "offcut-desk", "offcuts", &[Code::Answered])]
+#[tokio::test(flavor = "multi_thread")]
+async fn holders_carry_queries_beyond_the_connections(
+    #[case] deployment: Deployment,
+    #[case] index: &str,
+    #[case] service: &str,
+    #[case] allowed: &[Code],
+) {
+    let rig = Rig::start(shrink(deployment, index, 10), 9, SEED)
+        .await
+        .unwrap();
+    let http = make_client();
+    for entry in 0..rig.entries.len() {
+        let answer = search(&http, &rig, entry, service).await;
+        assert!(allowed.iter().any(|code| answer["code"] == code.number()), "{answer}");
+        let parts = answer["parts"].as_array().unwrap();
+        let mut shards: Vec<u64> = parts.iter().map(|part| part["shard"].as_u64().unwrap()).collect();
+        shards.dedup();
+        let missing = answer["coverage"]["missing"].as_array().unwrap().len();
+        assert_eq!(shards.len(), parts.len(), "no shard twice");
+        assert_eq!(parts.len() + missing, 30, "every shard is in the answer or named as missing");
+    }
+    for (id, counts) in rig.fleet.counts() {
+        assert_eq!(counts.refused, 0, "{id} had to refuse a connection");
+        assert!(counts.open <= 10, "{id} has {} connections", counts.open);
+    }
+    rig.stop().await.unwrap();
+}
+
+/// Guards against a drain that only the node that saw it knows of: the others must learn from their peers, because the
+/// platform's list does not name it.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_reaches_every_node() {
+    let rig = Rig::start(
+        shrink(build_brunner_vaucher(SEED), "plan-desk", 90),
+        6,
+        SEED,
+    )
+    .await
+    .unwrap();
+    rig.fleet.inject("plan-desk-4", Fault::Drain);
+    let known = async {
+        for entry in &rig.entries {
+            while !entry
+                .node()
+                .status()
+                .upstreams
+                .iter()
+                .any(|at| at.upstream == "plan-desk-4")
+            {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, known)
+        .await
+        .expect("every node knows of the drain");
+    let before = rig.fleet.counts()["plan-desk-4"].server.received;
+    let http = make_client();
+    for entry in 0..rig.entries.len() {
+        let answer = search(&http, &rig, entry, "advisers").await;
+        assert_eq!(
+            answer["code"],
+            u64::from(Code::Answered.number()),
+            "{answer}"
+        );
+    }
+    assert_eq!(
+        rig.fleet.counts()["plan-desk-4"].server.received,
+        before,
+        "no new work"
+    );
+    rig.stop().await.unwrap();
+}
+
+/// Guards against a VM that serves without configuration, or that finds none although its peers have one.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_vm_learns_from_peers_during_an_outage() {
+    let mut rig = Rig::start(shrink(build_skiasis(SEED), "registry", 100), 3, SEED)
+        .await
+        .unwrap();
+    let seeds = rig.entries.iter().map(|entry| entry.peer_addr()).collect();
+    rig.platform.set_fault(lab::platform::Fault {
+        mode: lab::platform::FaultMode::Down,
+        ..lab::platform::Fault::NONE
+    });
+    rig.start_entry_with_seeds(3, SEED, seeds).await.unwrap();
+    rig.wait_until_ready().await.unwrap();
+    let http = make_client();
+    let answer = search(&http, &rig, 3, "registry").await;
+    assert_eq!(answer["revision"], 1, "{answer}");
+    assert_eq!(
+        answer["code"],
+        u64::from(Code::Answered.number()),
+        "{answer}"
+    );
+    rig.stop().await.unwrap();
+}
