Look for overdue requests only where the oldest one is overdue

Each event of a home walked through the queues of all its ledgers to find requests that have waited too long, so the work grew with the square of the load. A queue is in the order of arrival; its first request outside a write tells whether any is overdue.

--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -243,6 +243,10 @@
     fn give_up(&mut self, now: Instant, actions: &mut Vec<HomeAction>) {
         let patience = self.options.patience;
         for slot in self.slots.values_mut() {
+            // Requests are in the order of their arrival, so the first one tells whether any has waited too long.
+            if slot.idle_since().is_none_or(|since| now < since + patience) {
+                continue;
+            }
             let busy = slot.busy();
             let mut at = 0;
             slot.queue.retain(|pending| {
