Measure what claims cost in platform writes

How many claims a write budget carries decides whether 64 ledgers and batching are enough. lab::model_cost drives fifteen homes in virtual time, with 5 ms for a platform call and a budget of 100 writes a second. A test holds that 1,000 claims a second stay within the budget.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,3 +4,4 @@
 mod model_claim;
 mod model_claim_state;
 mod model_conf;
+pub mod model_cost;
