Name the home's parts by their usual terms

The home's actions say which event has to follow each call, and a batch size of 0 counts as 1, since the home would never answer otherwise.

--- a/crates/once/src/pace.rs
+++ b/crates/once/src/bucket.rs
@@ -5,16 +5,16 @@
 
 /// A token bucket kept as the moment at which it would be full again.
 #[derive(Debug)]
-pub(crate) struct Pace {
+pub(crate) struct TokenBucket {
     interval: Duration,
     burst: u32,
     full_at: Option<Instant>,
 }
 
-impl Pace {
+impl TokenBucket {
     /// Creates a full bucket of `burst` writes that refills by one in each `interval`.
-    pub(crate) fn new(interval: Duration, burst: u32) -> Pace {
-        Pace {
+    pub(crate) fn new(interval: Duration, burst: u32) -> TokenBucket {
+        TokenBucket {
             interval,
             burst: burst.max(1),
             full_at: None,
--- a/crates/once/src/home.rs
+++ b/crates/once/src/home.rs
@@ -15,13 +15,13 @@
 use crate::Request;
 use crate::Retention;
 use crate::Verdict;
-use crate::pace::Pace;
-use crate::slot::Bounds;
-use crate::slot::Call;
-use crate::slot::Pending;
-use crate::slot::Slot;
-use crate::slot::Step;
-use crate::slot::refusal;
+use crate::bucket::TokenBucket;
+use crate::object::Bounds;
+use crate::object::Call;
+use crate::object::ObjectState;
+use crate::object::Pending;
+use crate::object::Step;
+use crate::object::refusal;
 
 /// Settings of a [`Home`].
 #[derive(Debug, Clone, Copy)]
@@ -96,6 +96,9 @@
 }
 
 /// An output of a [`Home`].
+///
+/// Each read and write has to be followed by one event with its result. A call that takes too long is ended with
+/// [`ReadResult::Failed`] or [`WriteResult::Unknown`]; until then the home makes no other call for that ledger.
 #[derive(Debug, Clone, PartialEq)]
 pub enum HomeAction {
     /// Read a ledger object.
@@ -112,8 +115,8 @@
 #[derive(Debug)]
 pub struct Home {
     options: HomeOptions,
-    pace: Pace,
-    slots: BTreeMap<LedgerId, Slot>,
+    bucket: TokenBucket,
+    objects: BTreeMap<LedgerId, ObjectState>,
     /// The ledger that wrote last; the search for the next writer starts after it, so that all get their turn.
     last: LedgerId,
 }
@@ -123,8 +126,8 @@
     pub fn new(options: HomeOptions) -> Home {
         Home {
             options,
-            pace: Pace::new(options.write_interval, options.write_burst),
-            slots: BTreeMap::new(),
+            bucket: TokenBucket::new(options.write_interval, options.write_burst),
+            objects: BTreeMap::new(),
             last: 0,
         }
     }
@@ -152,14 +155,18 @@
         for id in self.due_ledgers(ledger, now.instant) {
             self.advance_ledger(id, now, &mut actions);
         }
-        let wake = self.slots.values().filter_map(|slot| slot.wake_at).min();
+        let wake = self
+            .objects
+            .values()
+            .filter_map(|object| object.wake_at)
+            .min();
         actions.extend(wake.map(HomeAction::WakeAt));
         actions
     }
 
     fn enqueue(&mut self, ticket: u64, request: Request, now: Moment) {
-        let slot = self.slots.entry(request.spec.key.ledger()).or_default();
-        slot.queue.push(Pending {
+        let object = self.objects.entry(request.spec.key.ledger()).or_default();
+        object.queue.push(Pending {
             ticket,
             request,
             since: now.instant,
@@ -174,10 +181,10 @@
         now: Moment,
         actions: &mut Vec<HomeAction>,
     ) {
-        let Some(slot) = self.slots.get_mut(&ledger) else {
+        let Some(object) = self.objects.get_mut(&ledger) else {
             return;
         };
-        let (asked_at, base, next, verdicts) = match std::mem::take(&mut slot.call) {
+        let (asked_at, base, next, verdicts) = match std::mem::take(&mut object.call) {
             Call::Write {
                 asked_at,
                 base,
@@ -185,27 +192,27 @@
                 verdicts,
             } => (asked_at, base, next, verdicts),
             other => {
-                slot.call = other;
+                object.call = other;
                 return;
             }
         };
         match result {
             WriteResult::Applied(version) => {
-                slot.recover();
-                reply_first(slot, verdicts, actions);
-                slot.learn(version, next, asked_at);
+                object.recover();
+                reply_first(object, verdicts, actions);
+                object.learn(version, next, asked_at);
             }
             WriteResult::Conflict(version) => {
-                slot.known = None;
-                slot.floor = slot.floor.max(version);
+                object.known = None;
+                object.floor = object.floor.max(version);
             }
             WriteResult::Refused => {
-                slot.back_off(FIRST_BACKOFF, LONGEST_BACKOFF, now.instant);
-                refuse_clean(slot, actions);
+                object.back_off(FIRST_BACKOFF, LONGEST_BACKOFF, now.instant);
+                refuse_clean(object, actions);
             }
             WriteResult::Unknown => {
-                slot.known = None;
-                for pending in slot.queue.iter_mut().take(verdicts.len()) {
+                object.known = None;
+                for pending in object.queue.iter_mut().take(verdicts.len()) {
                     pending.doubt = Some(base);
                 }
             }
@@ -219,22 +226,22 @@
         now: Moment,
         actions: &mut Vec<HomeAction>,
     ) {
-        let Some(slot) = self.slots.get_mut(&ledger) else {
+        let Some(object) = self.objects.get_mut(&ledger) else {
             return;
         };
-        let Call::Read { asked_at } = slot.call else {
+        let Call::Read { asked_at } = object.call else {
             return;
         };
-        slot.call = Call::None;
+        object.call = Call::None;
         match result {
-            ReadResult::Found(version, value) if version >= slot.floor => {
-                slot.recover();
-                slot.learn(version, value, asked_at);
+            ReadResult::Found(version, value) if version >= object.floor => {
+                object.recover();
+                object.learn(version, value, asked_at);
             }
-            ReadResult::Found(..) => slot.back_off(FIRST_BACKOFF, LONGEST_BACKOFF, now.instant),
+            ReadResult::Found(..) => object.back_off(FIRST_BACKOFF, LONGEST_BACKOFF, now.instant),
             ReadResult::Failed => {
-                slot.back_off(FIRST_BACKOFF, LONGEST_BACKOFF, now.instant);
-                refuse_clean(slot, actions);
+                object.back_off(FIRST_BACKOFF, LONGEST_BACKOFF, now.instant);
+                refuse_clean(object, actions);
             }
         }
     }
@@ -242,14 +249,17 @@
     /// Answers the requests that have waited too long; those in a write that is in progress wait for its result.
     fn give_up(&mut self, now: Instant, actions: &mut Vec<HomeAction>) {
         let patience = self.options.patience;
-        for slot in self.slots.values_mut() {
+        for object in self.objects.values_mut() {
             // Requests are in the order of their arrival, so the first one tells whether any has waited too long.
-            if slot.idle_since().is_none_or(|since| now < since + patience) {
+            if object
+                .idle_since()
+                .is_none_or(|since| now < since + patience)
+            {
                 continue;
             }
-            let busy = slot.busy();
+            let busy = object.busy();
             let mut at = 0;
-            slot.queue.retain(|pending| {
+            object.queue.retain(|pending| {
                 at += 1;
                 if at <= busy || now < pending.since + patience {
                     return true;
@@ -262,10 +272,12 @@
 
     /// Lists the ledgers to advance: the one that the event is about, and those that asked to be woken by now.
     fn due_ledgers(&self, about: Option<LedgerId>, now: Instant) -> Vec<LedgerId> {
-        self.slots
+        self.objects
             .range(self.last.saturating_add(1)..)
-            .chain(self.slots.range(..=self.last))
-            .filter(|(id, slot)| Some(**id) == about || slot.wake_at.is_some_and(|at| at <= now))
+            .chain(self.objects.range(..=self.last))
+            .filter(|(id, object)| {
+                Some(**id) == about || object.wake_at.is_some_and(|at| at <= now)
+            })
             .map(|(id, _)| *id)
             .collect()
     }
@@ -273,35 +285,35 @@
     /// Advances one ledger until it rests.
     fn advance_ledger(&mut self, id: LedgerId, now: Moment, actions: &mut Vec<HomeAction>) {
         let bounds = Bounds {
-            batch: self.options.batch,
+            batch: self.options.batch.max(1),
             settle_delay: self.options.settle_delay,
             retention: self.options.retention,
         };
-        let Some(slot) = self.slots.get_mut(&id) else {
+        let Some(object) = self.objects.get_mut(&id) else {
             return;
         };
-        slot.wake_at = None;
+        object.wake_at = None;
         let rest = loop {
-            match slot.plan(&bounds, now) {
+            match object.plan(&bounds, now) {
                 Step::Rest => break None,
                 Step::RestUntil(at) => break Some(at),
                 Step::Read => {
                     let asked_at = now.instant;
-                    slot.call = Call::Read { asked_at };
+                    object.call = Call::Read { asked_at };
                     actions.push(HomeAction::Read(id));
                     break None;
                 }
-                Step::Reply(verdicts) => reply_first(slot, verdicts, actions),
+                Step::Reply(verdicts) => reply_first(object, verdicts, actions),
                 Step::Write { next, verdicts } => {
-                    if let Err(at) = self.pace.take(now.instant) {
+                    if let Err(at) = self.bucket.take(now.instant) {
                         // Without this every arriving request would compute the batch anew.
-                        slot.retry_at = Some(at);
+                        object.retry_at = Some(at);
                         break Some(at);
                     }
                     self.last = id;
-                    let base = slot.known.as_ref().map_or(0, |known| known.version);
+                    let base = object.known.as_ref().map_or(0, |known| known.version);
                     actions.push(HomeAction::Write(id, base, next.clone()));
-                    slot.call = Call::Write {
+                    object.call = Call::Write {
                         asked_at: now.instant,
                         base,
                         next,
@@ -311,22 +323,24 @@
                 }
             }
         };
-        let give_up_at = slot.idle_since().map(|since| since + self.options.patience);
-        slot.wake_at = earlier(rest, give_up_at);
+        let give_up_at = object
+            .idle_since()
+            .map(|since| since + self.options.patience);
+        object.wake_at = earlier(rest, give_up_at);
     }
 }
 
 /// Answers the first requests of the queue.
-fn reply_first(slot: &mut Slot, verdicts: Vec<Verdict>, actions: &mut Vec<HomeAction>) {
-    let answered = slot.queue.drain(..verdicts.len());
+fn reply_first(object: &mut ObjectState, verdicts: Vec<Verdict>, actions: &mut Vec<HomeAction>) {
+    let answered = object.queue.drain(..verdicts.len());
     for (pending, verdict) in answered.zip(verdicts) {
         actions.push(HomeAction::Reply(pending.ticket, verdict));
     }
 }
 
 /// Answers at once the requests of which nothing can have been written; the others wait for a read that resolves them.
-fn refuse_clean(slot: &mut Slot, actions: &mut Vec<HomeAction>) {
-    slot.queue.retain(|pending| {
+fn refuse_clean(object: &mut ObjectState, actions: &mut Vec<HomeAction>) {
+    object.queue.retain(|pending| {
         let clean = pending.doubt.is_none();
         if clean {
             actions.push(HomeAction::Reply(pending.ticket, Verdict::Unavailable));
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -31,12 +31,12 @@
 //! assert_eq!(ledger.claim(&retry, 1_001).verdict, Verdict::InProgress);
 //! ```
 
+mod bucket;
 mod claim;
 mod claimant;
 mod home;
 mod ledger;
-mod pace;
-mod slot;
+mod object;
 
 pub use crate::claim::Claim;
 pub use crate::claim::ClaimKey;
--- a/crates/once/src/slot.rs
+++ b/crates/once/src/object.rs
@@ -69,7 +69,7 @@
 
 /// State of one ledger object.
 #[derive(Debug, Default)]
-pub(crate) struct Slot {
+pub(crate) struct ObjectState {
     pub(crate) known: Option<Known>,
     /// Highest version that the platform has reported; a read that returns less lags and is not used.
     pub(crate) floor: u64,
@@ -78,11 +78,11 @@
     /// Calls that failed in a row, for the exponential backoff.
     pub(crate) failures: u32,
     pub(crate) retry_at: Option<Instant>,
-    /// When the slot is to be advanced without an event of its own.
+    /// When the object is to be advanced without an event of its own.
     pub(crate) wake_at: Option<Instant>,
 }
 
-/// Bounds of [`Slot::plan`].
+/// Bounds of [`ObjectState::plan`].
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Bounds {
     pub(crate) batch: usize,
@@ -90,7 +90,7 @@
     pub(crate) retention: Retention,
 }
 
-impl Slot {
+impl ObjectState {
     /// Decides the next step without taking it.
     pub(crate) fn plan(&self, bounds: &Bounds, now: Moment) -> Step {
         if self.queue.is_empty() || !matches!(self.call, Call::None) {
