--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,3 +15,8 @@
 pub mod settings;
 pub mod upstreams;
 pub mod verdict;
+pub mod model;
+mod model_claim;
+mod model_claim_state;
+mod model_conf;
+pub mod model_cost;
