once, entry: let a retry wait for the first outcome; stop a race in tests

A caller that retried with its key right after the first answer got 403, because the settlement is written up to 200 ms later. The claimant now asks again until its send window ends. The demo injected faults into servers that do not exist (plan-desk-0 for plan-desk-00) and showed healthy answers; it now fails when a server is unknown. A process test lost a port to another test between finding and binding it; each test has its own loopback address now.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -63,16 +63,14 @@
         self.title("Brunner-Vaucher: advisers search the 30 shards of plan-desk (latency first)");
         self.warm_up("advisers").await?;
         self.ask("all servers are healthy", "advisers").await?;
-        self.rig
-            .fleet
-            .inject("plan-desk-0", Fault::Slow { factor: 40.0 });
-        self.ask("server plan-desk-0 is 40 times slower", "advisers")
+        self.inject("plan-desk-00", Fault::Slow { factor: 40.0 })?;
+        self.ask("server plan-desk-00 is 40 times slower", "advisers")
             .await?;
-        self.rig.fleet.inject("plan-desk-1", Fault::Stop);
-        self.ask("server plan-desk-1 is also lost", "advisers")
+        self.inject("plan-desk-01", Fault::Stop)?;
+        self.ask("server plan-desk-01 is also lost", "advisers")
             .await?;
-        self.rig.fleet.inject("plan-desk-0", Fault::Clear);
-        self.rig.fleet.inject("plan-desk-1", Fault::Clear);
+        self.inject("plan-desk-00", Fault::Clear)?;
+        self.inject("plan-desk-01", Fault::Clear)?;
         self.move_version("plan-desk").await?;
         self.ask("the index has moved to a new version", "advisers")
             .await?;
@@ -87,16 +85,23 @@
         self.ask("all servers are healthy", "offcuts").await?;
         let lost = self.replicas("offcut-desk", 3);
         for server in &lost {
-            self.rig.fleet.inject(server, Fault::Stop);
+            self.inject(server, Fault::Stop)?;
         }
         self.ask("all replicas of shard 3 are lost", "offcuts")
             .await?;
         for server in &lost {
-            self.rig.fleet.inject(server, Fault::Clear);
+            self.inject(server, Fault::Clear)?;
         }
         self.ask("the replicas are back", "offcuts").await
     }
 
+    fn inject(&self, server: &str, fault: Fault) -> Result<(), RigError> {
+        let found = self.rig.fleet.inject(server, fault);
+        found
+            .then_some(())
+            .ok_or_else(|| RigError::new(format!("no server is named {server}")))
+    }
+
     fn replicas(&self, index: &str, shard: u32) -> Vec<base::UpstreamId> {
         let state = self.rig.deployment.index(index).map(|index| &index.state);
         let shard = state.and_then(|state| state.maps.last()?.shard(shard));
@@ -114,13 +119,8 @@
 
     /// Adds a version to an index, first at the servers and then in the platform, and retires the old one.
     async fn move_version(&mut self, index: &str) -> Result<(), RigError> {
-        let Some(index) = self
-            .rig
-            .deployment
-            .indexes
-            .iter_mut()
-            .find(|at| at.state.index == index)
-        else {
+        let indexes = &mut self.rig.deployment.indexes;
+        let Some(index) = indexes.iter_mut().find(|at| at.state.index == index) else {
             return Ok(());
         };
         let Some(map) = index.state.maps.last_mut() else {
@@ -129,18 +129,14 @@
         let old = map.versions.last().copied().unwrap_or(0);
         map.versions.push(old + 1);
         let map: ShardMap = map.clone();
-        for server in &index.servers {
-            self.rig
-                .fleet
-                .inject(&server.id, Fault::Hold { map: map.clone() });
-        }
         let state = index.state.clone();
+        for server in &state.upstreams {
+            self.inject(&server.id, Fault::Hold { map: map.clone() })?;
+        }
         write_object(&self.rig.store, "index", &state.index, &state).await?;
         tokio::time::sleep(Duration::from_millis(200)).await;
         for server in &state.upstreams {
-            self.rig
-                .fleet
-                .inject(&server.id, Fault::Retire { version: old });
+            self.inject(&server.id, Fault::Retire { version: old })?;
         }
         Ok(())
     }
--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -80,13 +80,23 @@
     let http = make_client();
     for entry in 0..rig.entries.len() {
         let answer = search(&http, &rig, entry, service).await;
-        assert!(allowed.iter().any(|code| answer["code"] == code.number()), "{answer}");
+        assert!(
+            allowed.iter().any(|code| answer["code"] == code.number()),
+            "{answer}"
+        );
         let parts = answer["parts"].as_array().unwrap();
-        let mut shards: Vec<u64> = parts.iter().map(|part| part["shard"].as_u64().unwrap()).collect();
+        let mut shards: Vec<u64> = parts
+            .iter()
+            .map(|part| part["shard"].as_u64().unwrap())
+            .collect();
         shards.dedup();
         let missing = answer["coverage"]["missing"].as_array().unwrap().len();
         assert_eq!(shards.len(), parts.len(), "no shard twice");
-        assert_eq!(parts.len() + missing, 30, "every shard is in the answer or named as missing");
+        assert_eq!(
+            parts.len() + missing,
+            30,
+            "every shard is in the answer or named as missing"
+        );
     }
     for (id, counts) in rig.fleet.counts() {
         assert_eq!(counts.refused, 0, "{id} had to refuse a connection");
@@ -106,7 +116,7 @@
     )
     .await
     .unwrap();
-    rig.fleet.inject("plan-desk-4", Fault::Drain);
+    assert!(rig.fleet.inject("plan-desk-04", Fault::Drain));
     let known = async {
         for entry in &rig.entries {
             while !entry
@@ -114,7 +124,7 @@
                 .status()
                 .upstreams
                 .iter()
-                .any(|at| at.upstream == "plan-desk-4")
+                .any(|at| at.upstream == "plan-desk-04")
             {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
@@ -123,7 +133,7 @@
     tokio::time::timeout(PATIENCE, known)
         .await
         .expect("every node knows of the drain");
-    let before = rig.fleet.counts()["plan-desk-4"].server.received;
+    let before = rig.fleet.counts()["plan-desk-04"].server.received;
     let http = make_client();
     for entry in 0..rig.entries.len() {
         let answer = search(&http, &rig, entry, "advisers").await;
@@ -134,7 +144,7 @@
         );
     }
     assert_eq!(
-        rig.fleet.counts()["plan-desk-4"].server.received,
+        rig.fleet.counts()["plan-desk-04"].server.received,
         before,
         "no new work"
     );
--- a/crates/limpetwick/tests/fleet/mod.rs
+++ b/crates/limpetwick/tests/fleet/mod.rs
@@ -1,11 +1,13 @@
 //! A deployment of separate processes on loopback.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -74,6 +76,7 @@
     pub platform_addr: SocketAddr,
     pub control: SocketAddr,
     dir: PathBuf,
+    ports: Ports,
     http: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -82,7 +85,8 @@
     pub async fn start(test: &str) -> Fleet {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         std::fs::create_dir_all(&dir).expect("the directory is writable");
-        let (platform_addr, control) = (free_addr(), free_addr());
+        let mut ports = Ports::new();
+        let (platform_addr, control) = (ports.take(), ports.take());
         let platform = Process::start(&["lab", "platform", "--listen", &platform_addr.to_string()]);
         let http = Client::builder(TokioExecutor::new()).build_http();
         wait_for("the platform", async || {
@@ -111,6 +115,7 @@
             platform_addr,
             control,
             dir,
+            ports,
             http,
         };
         for number in 0..ZONES.len() {
@@ -129,7 +134,7 @@
 
     /// Starts one more entry VM and registers it in the platform's list.
     pub async fn add_entry(&mut self, number: usize, seeds: &[SocketAddr]) {
-        let (listen, peer) = (free_addr(), free_addr());
+        let (listen, peer) = (self.ports.take(), self.ports.take());
         let zone = ZONES[number % ZONES.len()];
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
@@ -239,8 +244,27 @@
         .unwrap_or_else(|_| panic!("{what} never came"));
 }
 
-/// Returns a loopback address that was free a moment ago.
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+/// Hands out the addresses of one test.
+///
+/// Each test process and test has a loopback address of its own, because a port that was found free may be taken by
+/// another test before the process that it is meant for binds it.
+#[derive(Debug)]
+struct Ports {
+    ip: Ipv4Addr,
+    next: u16,
+}
+
+impl Ports {
+    fn new() -> Ports {
+        static TESTS: AtomicU8 = AtomicU8::new(1);
+        let process = std::process::id();
+        let test = TESTS.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, (process >> 8 & 0x7f) as u8 + 1, process as u8, test);
+        Ports { ip, next: 20_000 }
+    }
+
+    fn take(&mut self) -> SocketAddr {
+        self.next += 1;
+        SocketAddr::from((self.ip, self.next))
+    }
 }
--- a/crates/once/src/claimant.rs
+++ b/crates/once/src/claimant.rs
@@ -119,6 +119,8 @@
     outstanding: bool,
     /// Whether an earlier request may have been acted on without an answer.
     unsure: bool,
+    /// Whether the last verdict said that another attempt holds the key.
+    held: bool,
 }
 
 impl Claimant {
@@ -133,6 +135,7 @@
             asked_at: None,
             outstanding: false,
             unsure: false,
+            held: false,
         }
     }
 
@@ -262,7 +265,11 @@
             }
             Verdict::Unavailable | Verdict::Missing => Settlement::bare(Code::ClaimUnavailable),
             Verdict::Full => Settlement::bare(Code::Overloaded),
-            Verdict::InProgress => Settlement::bare(Code::DuplicateUnknown),
+            Verdict::InProgress => {
+                // The other attempt may settle soon; until then the timer asks again.
+                self.held = true;
+                return;
+            }
             Verdict::KeyReused => Settlement::bare(Code::KeyReused),
             Verdict::Settled(outcome) => outcome,
         };
@@ -358,6 +365,11 @@
         let closed = !self.window_open(now);
         let elapsed = self.elapsed(now);
         match self.state {
+            // The code promises nothing, so that no revocation is needed.
+            State::Claiming if closed && self.held => {
+                self.finish(Settlement::bare(Code::DuplicateUnknown), actions);
+                self.state = State::Done;
+            }
             State::Claiming if closed && !self.unsure && !self.outstanding => {
                 self.finish(Settlement::bare(Code::ClaimUnavailable), actions);
                 self.state = State::Done;
--- a/crates/once/tests/protocol/claimant.rs
+++ b/crates/once/tests/protocol/claimant.rs
@@ -124,7 +124,6 @@
 
 /// Guards against a wrong conclusion from the home's verdict on a claim.
 #[rstest]
-#[case::in_progress(Verdict::InProgress, Code::DuplicateUnknown)]
 #[case::settled(Verdict::Settled(Settlement::bare(Code::Answered)), Code::Answered)]
 #[case::key_reused(Verdict::KeyReused, Code::KeyReused)]
 #[case::ledger_full(Verdict::Full, Code::Overloaded)]
@@ -137,6 +136,43 @@
     assert_eq!(rig.asked.len(), 1);
 }
 
+/// Guards against a retry that is told "in progress" although the first request ends in time, and against one that is
+/// sent because another attempt holds the key.
+#[rstest]
+#[case::settles(true, Code::Answered)]
+#[case::stays_open(false, Code::DuplicateUnknown)]
+fn a_retry_waits_for_the_first_outcome(#[case] settles: bool, #[case] code: Code) {
+    let mut rig = Rig::started();
+    rig.handle(ClaimantEvent::Verdict(Verdict::InProgress));
+    assert_eq!(rig.codes(), []);
+    rig.wake_after(200);
+    assert_eq!(rig.asked, [Operation::Claim, Operation::Claim]);
+    if settles {
+        let outcome = Settlement::bare(Code::Answered);
+        rig.handle(ClaimantEvent::Verdict(Verdict::Settled(outcome)));
+    } else {
+        rig.handle(ClaimantEvent::Verdict(Verdict::InProgress));
+        rig.wake_after(550);
+    }
+    rig.handle(ClaimantEvent::Sending);
+    assert_eq!((rig.sent, rig.codes()), (0, vec![code]));
+    assert!(rig.claimant.is_done());
+}
+
+/// Guards against a second send without proof that the first was not run, and against a shed request that could go to
+/// another replica and doesn't.
+#[rstest]
+#[case::proved_not_run(true, 2)]
+#[case::no_proof(false, 1)]
+fn a_claim_covers_another_send_only_after_proof(#[case] proved: bool, #[case] sends: u32) {
+    let mut rig = Rig::sent();
+    if proved {
+        rig.handle(ClaimantEvent::Unsent);
+    }
+    rig.handle(ClaimantEvent::Sending);
+    assert_eq!(rig.sent, sends);
+}
+
 /// Guards against "not run" without a revocation, when an earlier claim request may have been written.
 #[rstest]
 #[case::verdict_unsure(Some(ClaimantEvent::Verdict(Verdict::Unsure)))]
