Keep heartbeats within 4 KB/s when a fleet starts and in storms

Since replies carry changes of every kind, the start of 590 VMs filled all messages for two minutes: each VM was a change to each other. A node sent 2.5 KB/s instead of 1.9, and zone summaries found no room, so that a cut zone was not seen as healed within 30 s. A VM that the platform's list names is no change when it is first heard, changes end after 20 s in any case, and summaries come first.

--- a/crates/member/src/beat.rs
+++ b/crates/member/src/beat.rs
@@ -191,12 +191,12 @@
         draft.left = draft
             .left
             .saturating_sub(draft.beat.wanted.len().min(WANTED) * 4 + 2);
+        self.add_zones(&mut draft);
         let reserve = draft.left * (100 - CHANGE_PERCENT) / 100;
         self.add_changes(&mut draft, Urgency::Report, reserve);
         let pulses = self.pulses(draft.left, now);
         draft.left = draft.left.saturating_sub(pulses.encoded_len() + 3);
         draft.beat.pulses = Some(pulses);
-        self.add_zones(&mut draft);
         self.add_rotation(&mut draft);
         draft.beat
     }
@@ -208,8 +208,8 @@
         if draft.fits(&summary, 0) {
             draft.beat.zones.push(summary);
         }
-        self.add_changes(&mut draft, Urgency::Report, 0);
         self.add_zones(&mut draft);
+        self.add_changes(&mut draft, Urgency::Report, 0);
         self.add_rotation(&mut draft);
         draft.beat
     }
--- a/crates/member/src/receive.rs
+++ b/crates/member/src/receive.rs
@@ -105,8 +105,8 @@
         let mut draft = Draft::for_reply(sender);
         // An urgent heartbeat has neither counters nor summaries, and its sender has the news already.
         if beat.pulses.is_some() || !beat.zones.is_empty() {
-            self.add_changes(&mut draft, Urgency::Report, 0);
             self.add_zones(&mut draft);
+            self.add_changes(&mut draft, Urgency::Report, 0);
         }
         let mut reply = BeatReply {
             nodes: draft.beat.nodes,
@@ -172,8 +172,11 @@
             }
             return Change::None;
         }
-        let was_known = self.by_id.get(&record.id).copied();
-        let change = match was_known {
+        let known = self.by_id.get(&record.id).copied();
+        // The list has told the others of such a VM too; repeating it would fill the heartbeats when a fleet starts.
+        let expected =
+            record.state == NodeState::Live && known.is_some_and(|key| !self.nodes[key].heard());
+        let change = match known {
             Some(key) => self.merge_known(key, record, now),
             None => {
                 self.insert_node(record.clone(), now);
@@ -183,6 +186,9 @@
         self.note_revision(record.revision, record.id.clone());
         if change == Change::State && record.incarnation > 0 {
             self.epoch += 1;
+            if expected {
+                return change;
+            }
             let urgent = record.state == NodeState::Leaving;
             let urgency = if urgent {
                 Urgency::Drain
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -6,6 +6,7 @@
 use base::NodeId;
 use base::UpstreamId;
 
+use crate::timing::REPEAT_LIMIT;
 use crate::timing::REPEAT_TIME;
 use crate::timing::REPEATS;
 
@@ -84,7 +85,8 @@
     /// Forgets changes that were repeated long and often enough.
     pub(crate) fn forget_old(&mut self, now: Instant) {
         self.pending.retain(|_, pending| {
-            pending.sent < REPEATS || now.saturating_duration_since(pending.added) < REPEAT_TIME
+            let age = now.saturating_duration_since(pending.added);
+            age < REPEAT_TIME || pending.sent < REPEATS && age < REPEAT_LIMIT
         });
     }
 
--- a/crates/member/src/timing.rs
+++ b/crates/member/src/timing.rs
@@ -79,7 +79,7 @@
 pub(crate) const REMOTE_BYTES: usize = 400;
 
 /// Most bytes of changes and summaries in a reply, besides the counters.
-pub(crate) const REPLY_BYTES: usize = 400;
+pub(crate) const REPLY_BYTES: usize = 300;
 
 /// Most message bytes of an urgent heartbeat.
 pub(crate) const URGENT_BYTES: usize = 1_000;
@@ -87,11 +87,11 @@
 /// Sustained bytes per second of urgent heartbeats.
 ///
 /// The periodic ones take about 2 KB/s to send and as much to receive; the page's changes, one in 54 s, add about 100
-/// bytes/s. Under a storm of changes the bytes sent still stay below 4 KB/s.
-pub(crate) const URGENT_RATE: f64 = 1_000.0;
+/// bytes/s. In a lasting storm of changes a VM sends just under 4 KB/s, replies included.
+pub(crate) const URGENT_RATE: f64 = 700.0;
 
-/// Bytes of urgent heartbeats that may be sent in one burst; enough for about ten changes in a row.
-pub(crate) const URGENT_BURST: f64 = 16_384.0;
+/// Bytes of urgent heartbeats that may be sent in one burst; enough for about four changes in a row.
+pub(crate) const URGENT_BURST: f64 = 8_192.0;
 
 /// Most heartbeat counters in one heartbeat; the freshest ones are sent.
 pub(crate) const PULSES: usize = 100;
@@ -110,5 +110,11 @@
 /// It is a time rather than a count, because a node that receives many copies at once would use up a count at once.
 pub(crate) const REPEAT_TIME: Duration = Duration::from_secs(5);
 
-/// Fewest messages in which a node repeats a change, however long the queue of changes is.
+/// Fewest messages in which a node repeats a change, as long as it is younger than `REPEAT_LIMIT`.
 pub(crate) const REPEATS: u32 = 4;
+
+/// Time after which a change is left to rotation in any case.
+///
+/// When a whole fleet starts at once, every VM is a change to every other, and repeating them all would fill the
+/// heartbeats for minutes.
+pub(crate) const REPEAT_LIMIT: Duration = Duration::from_secs(20);
