Measure what membership costs and how fast it is, by number of VMs

CPU time is measured around the calls; heap bytes are the view's own estimate, with the growth of the process beside it for the first size.

--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,325 @@
+//! A fleet of real views that exchange heartbeats through a queue of events in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::NodeId;
+use base::Revision;
+use base::Upstream;
+use base::Vm;
+use base::VmRole;
+use base::VmState;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use member::Identity;
+use member::Outgoing;
+use member::View;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::SlopeOptions;
+
+const ZONES: [&str; 6] = [
+    "attiki",
+    "kriti",
+    "lausanne",
+    "lugano",
+    "makedonia",
+    "zurich",
+];
+
+/// Indexes over which the upstreams are divided.
+pub(crate) const INDEXES: usize = 8;
+
+/// Time between the reads of the platform's list, which is also its lag here.
+const LIST_PERIOD: Duration = Duration::from_secs(30);
+
+#[derive(Debug)]
+pub(crate) enum Event {
+    Tick(usize),
+    List(usize),
+    Beat {
+        from: usize,
+        to: usize,
+        beat: Box<Outgoing>,
+    },
+    Reply {
+        to: usize,
+        reply: Box<wire::BeatReply>,
+    },
+    Adopt(usize, Revision),
+    Stop(usize),
+}
+
+/// Entry VMs that exchange heartbeats through a queue of events in virtual time.
+pub(crate) struct Fleet {
+    pub(crate) views: Vec<Option<View>>,
+    pub(crate) zones: Vec<usize>,
+    pub(crate) by_id: HashMap<NodeId, usize>,
+    listed: Vec<Vm>,
+    pub(crate) indexes: Vec<(CompactString, Vec<Upstream>)>,
+    events: BinaryHeap<Reverse<(Duration, u64)>>,
+    bodies: HashMap<u64, Event>,
+    order: u64,
+    start: Instant,
+    pub(crate) time: Duration,
+    pub(crate) cut: Option<usize>,
+    loss: u64,
+    rng: Pcg64Mcg,
+    pub(crate) sent: Vec<usize>,
+    pub(crate) received: Vec<usize>,
+    window: Vec<(u64, usize)>,
+    pub(crate) peak: usize,
+    pub(crate) busy: Duration,
+    pub(crate) next_drain: usize,
+}
+
+impl Fleet {
+    pub(crate) fn new(nodes: usize, options: &SlopeOptions) -> Fleet {
+        let mut fleet = Fleet {
+            views: Vec::new(),
+            zones: Vec::new(),
+            by_id: HashMap::new(),
+            listed: Vec::new(),
+            indexes: make_indexes(options.upstreams),
+            events: BinaryHeap::new(),
+            bodies: HashMap::new(),
+            order: 0,
+            start: Instant::now(),
+            time: Duration::ZERO,
+            cut: None,
+            loss: options.loss,
+            rng: Pcg64Mcg::seed_from_u64(options.seed),
+            sent: Vec::new(),
+            received: Vec::new(),
+            window: Vec::new(),
+            peak: 0,
+            busy: Duration::ZERO,
+            next_drain: 0,
+        };
+        fleet.listed = (0..nodes).map(|at| make_vm(at, at % ZONES.len())).collect();
+        for at in 0..nodes {
+            fleet.add_vm(at % ZONES.len());
+        }
+        fleet
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.start + self.time
+    }
+
+    pub(crate) fn live(&self) -> impl Iterator<Item = &View> {
+        self.views.iter().flatten()
+    }
+
+    pub(crate) fn draw(&mut self, bound: usize) -> usize {
+        (self.rng.next_u64() % bound as u64) as usize
+    }
+
+    pub(crate) fn pick_vm(&mut self) -> usize {
+        loop {
+            let at = self.draw(self.views.len());
+            if self.views[at].is_some() {
+                return at;
+            }
+        }
+    }
+
+    /// Starts a VM with what the platform says at this moment.
+    pub(crate) fn add_vm(&mut self, zone: usize) {
+        let at = self.views.len();
+        let vm = make_vm(at, zone);
+        let identity = Identity {
+            id: vm.id.clone(),
+            zone: vm.zone,
+            region: vm.region,
+            addr: vm.addr,
+            incarnation: 1 + self.time.as_millis() as u64,
+        };
+        let now = self.now();
+        let mut view = View::new(identity, now);
+        view.set_list(&self.listed, now);
+        for (index, upstreams) in &self.indexes {
+            view.set_upstreams(index, upstreams, now);
+        }
+        self.views.push(Some(view));
+        self.zones.push(zone);
+        self.by_id.insert(vm.id, at);
+        self.sent.push(0);
+        self.received.push(0);
+        self.window.push((0, 0));
+        let phase = self.draw(100) as u32;
+        self.schedule(member::TICK * phase / 100, Event::Tick(at));
+        self.schedule(LIST_PERIOD * phase / 100, Event::List(at));
+    }
+
+    pub(crate) fn schedule(&mut self, delay: Duration, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((self.time + delay, self.order)));
+        self.bodies.insert(self.order, event);
+    }
+
+    pub(crate) fn run(&mut self, span: Duration) {
+        let end = self.time + span;
+        while let Some(&Reverse((at, order))) = self.events.peek() {
+            if at > end {
+                break;
+            }
+            self.events.pop();
+            self.time = at;
+            if let Some(event) = self.bodies.remove(&order) {
+                self.handle(event);
+            }
+        }
+        self.time = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(at) => self.tick(at),
+            Event::List(at) => {
+                let now = self.now();
+                if let Some(view) = &mut self.views[at] {
+                    let started = Instant::now();
+                    view.set_list(&self.listed, now);
+                    self.busy += started.elapsed();
+                    self.schedule(LIST_PERIOD, Event::List(at));
+                }
+            }
+            Event::Beat { from, to, beat } => self.deliver(from, to, &beat),
+            Event::Reply { to, reply } => {
+                let now = self.now();
+                self.received[to] += member::reply_bytes(&reply);
+                if let Some(view) = &mut self.views[to] {
+                    let started = Instant::now();
+                    view.receive_reply(&reply, now);
+                    self.busy += started.elapsed();
+                    self.pull(to);
+                }
+            }
+            Event::Adopt(at, revision) => {
+                let now = self.now();
+                if let Some(view) = &mut self.views[at] {
+                    view.set_revision(revision, now);
+                }
+            }
+            Event::Stop(at) => self.views[at] = None,
+        }
+    }
+
+    fn tick(&mut self, at: usize) {
+        let now = self.now();
+        let Some(view) = &mut self.views[at] else {
+            return;
+        };
+        let started = Instant::now();
+        let beats = view.tick(now, &mut self.rng);
+        self.busy += started.elapsed();
+        for beat in beats {
+            self.count_sent(at, beat.bytes());
+            let Some(&to) = self.by_id.get(&beat.to) else {
+                continue;
+            };
+            if let Some(delay) = self.travel(at, to) {
+                let beat = Box::new(beat);
+                self.schedule(delay, Event::Beat { from: at, to, beat });
+            }
+        }
+        self.schedule(member::TICK, Event::Tick(at));
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, beat: &Outgoing) {
+        let now = self.now();
+        let Some(view) = &mut self.views[to] else {
+            return;
+        };
+        self.received[to] += beat.bytes();
+        let started = Instant::now();
+        let reply = view.receive(&beat.beat, now);
+        self.busy += started.elapsed();
+        self.count_sent(to, member::reply_bytes(&reply));
+        if let Some(delay) = self.travel(to, from) {
+            let reply = Box::new(reply);
+            self.schedule(delay, Event::Reply { to: from, reply });
+        }
+        self.pull(to);
+    }
+
+    /// Plays the part of the runtime, which pulls a newer revision from a peer that has it.
+    fn pull(&mut self, at: usize) {
+        let Some(view) = &self.views[at] else {
+            return;
+        };
+        let Some((revision, source)) = view.newest() else {
+            return;
+        };
+        if revision > view.me().revision {
+            let source = self.by_id[source];
+            if let (Some(there), Some(back)) = (self.travel(at, source), self.travel(source, at)) {
+                self.schedule(there + back, Event::Adopt(at, revision));
+            }
+        }
+    }
+
+    /// Returns the one-way delay between two VMs, or `None` when the message is lost.
+    fn travel(&mut self, from: usize, to: usize) -> Option<Duration> {
+        let (a, b) = (self.zones[from], self.zones[to]);
+        let severed = a != b && self.cut.is_some_and(|cut| cut == a || cut == b);
+        if severed || self.rng.next_u64() % 100 < self.loss {
+            return None;
+        }
+        let millis = if a % 2 == b % 2 { 1 } else { 12 };
+        Some(Duration::from_millis(millis))
+    }
+
+    fn count_sent(&mut self, at: usize, bytes: usize) {
+        self.sent[at] += bytes;
+        let second = self.time.as_secs();
+        let window = &mut self.window[at];
+        if window.0 != second {
+            *window = (second, 0);
+        }
+        window.1 += bytes;
+        self.peak = self.peak.max(window.1);
+    }
+}
+
+fn make_vm(at: usize, zone: usize) -> Vm {
+    let region = if zone.is_multiple_of(2) {
+        "north"
+    } else {
+        "south"
+    };
+    let [_, _, high, low] = (at as u32).to_be_bytes();
+    Vm {
+        id: format_compact!("{}-entry-{at:03}", ZONES[zone]),
+        role: VmRole::Entry,
+        addr: ([10, zone as u8, high, low], 7_400).into(),
+        zone: ZONES[zone].into(),
+        region: region.into(),
+        state: VmState::Live,
+    }
+}
+
+fn make_indexes(upstreams: usize) -> Vec<(CompactString, Vec<Upstream>)> {
+    let mut indexes: Vec<(CompactString, Vec<Upstream>)> = (0..INDEXES)
+        .map(|index| (format_compact!("index-{index}"), Vec::new()))
+        .collect();
+    for at in 0..upstreams {
+        let zone = at / INDEXES % ZONES.len();
+        let vm = make_vm(at, zone);
+        indexes[at % INDEXES].1.push(Upstream {
+            id: format_compact!("{}-srv-{at:04}", ZONES[zone]),
+            addr: vm.addr,
+            zone: vm.zone,
+            region: vm.region,
+            slots: 4,
+            connections: 90,
+        });
+    }
+    indexes
+}
--- /dev/null
+++ b/crates/lab/src/slopes.rs
@@ -0,0 +1,391 @@
+//! Cost and speed of membership by the number of VMs, measured on real views over an in-memory exchange.
+//!
+//! Time is virtual, so the figures in seconds depend only on the seed. CPU time is measured around the calls.
+
+use std::fmt;
+use std::io;
+use std::io::Write;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Revision;
+use base::UpstreamId;
+use base::UpstreamState;
+use member::Evidence;
+use member::Health;
+use member::NodeState;
+use member::View;
+
+use crate::fleet::Event;
+use crate::fleet::Fleet;
+use crate::fleet::INDEXES;
+
+/// Limit of control work per node, in percent of a core.
+pub const LIMIT_CPU: f64 = 2.0;
+/// Limit of memory for control state per node, in bytes.
+pub const LIMIT_HEAP: f64 = 32.0 * 1024.0 * 1024.0;
+/// Limit of control traffic per node, in bytes per second.
+pub const LIMIT_BYTES: f64 = 4096.0;
+/// Limit for a drain to reach every node, in seconds.
+///
+/// The page allows 3 s from the start of the drain, of which an idle upstream's probe may take 1 s.
+pub const LIMIT_DRAIN: f64 = 2.0;
+/// Limit for a revision to be in force on every node, in seconds.
+pub const LIMIT_REVISION: f64 = 4.0;
+
+/// Restarts and failures a day at [`PAGE_NODES`] VMs.
+const PAGE_RESTARTS: f64 = 640.0;
+const PAGE_FAILURES: f64 = 29.0;
+const PAGE_NODES: f64 = 590.0;
+/// The churn phase runs this many times faster than the page's churn, so that a short run has events.
+const CHURN_SPEEDUP: f64 = 60.0;
+/// Time that a leaving VM runs on before it stops.
+const LEAVE_TIME: Duration = Duration::from_secs(3);
+
+/// What to measure.
+#[derive(Debug, Clone)]
+pub struct SlopeOptions {
+    /// Numbers of entry VMs.
+    pub sizes: Vec<usize>,
+    /// Number of upstreams.
+    pub upstreams: usize,
+    /// Messages lost, in percent.
+    pub loss: u64,
+    /// Seed of the random generator.
+    pub seed: u64,
+}
+
+impl Default for SlopeOptions {
+    fn default() -> SlopeOptions {
+        SlopeOptions {
+            sizes: vec![590, 300, 150, 60, 15],
+            upstreams: 4_300,
+            loss: 1,
+            seed: 1,
+        }
+    }
+}
+
+/// Figures of one size; a time is `None` when a node was not reached within 30 s.
+#[derive(Debug, Clone, Default)]
+pub struct Slope {
+    /// Number of entry VMs.
+    pub nodes: usize,
+    /// Bytes sent per node and second, undisturbed.
+    pub sent: f64,
+    /// Bytes received per node and second, undisturbed.
+    pub received: f64,
+    /// The most that one node sent in one second of the whole run.
+    pub peak_sent: f64,
+    /// CPU time of a node, in percent of a core, undisturbed.
+    pub cpu: f64,
+    /// Heap bytes of the largest view, by its own estimate.
+    pub heap: f64,
+    /// Growth of the process while the views were made, per view; `None` where the system does not tell.
+    ///
+    /// It is meaningful for the first size only, since later ones reuse memory that was freed.
+    pub resident: Option<f64>,
+    /// Live VMs that a node held to be suspect or dead, undisturbed, as a sum over scans each second.
+    pub false_suspects: usize,
+    /// Slowest of several drains, in seconds.
+    pub drain: Option<f64>,
+    /// Slowest of several revisions, in seconds.
+    pub revision: Option<f64>,
+    /// VMs of the zone that was cut off, or of the rest, that some node removed or held to be dead.
+    pub removed: usize,
+    /// Seconds from healing until every node saw every zone and VM live again.
+    pub healed: Option<f64>,
+    /// Seconds from healing until a drain that happened during the cut was known everywhere.
+    pub healed_drain: Option<f64>,
+    /// The most that one node sent in one second after healing.
+    pub heal_peak: f64,
+    /// Bytes sent per node and second during churn at [`CHURN_SPEEDUP`] times the page's rate.
+    pub churn_sent: f64,
+    /// Slowest of the drains during churn, in seconds.
+    pub churn_drain: Option<f64>,
+    /// Events in the churn phase.
+    pub churn_events: usize,
+}
+
+impl fmt::Display for Slope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let time = |time: Option<f64>| time.map_or("none".to_string(), |t| format!("{t:.2}"));
+        write!(
+            f,
+            "{:>5} {:>6.0} {:>6.0} {:>6.0} {:>7.3} {:>7.2} {:>7} {:>5} {:>6} {:>6} {:>5} {:>6} {:>6} {:>6.0} {:>6.0} {:>6} {:>4}",
+            self.nodes,
+            self.sent,
+            self.received,
+            self.peak_sent,
+            self.cpu,
+            self.heap / (1024.0 * 1024.0),
+            self.resident
+                .map_or("-".to_string(), |b| format!("{:.2}", b / (1024.0 * 1024.0))),
+            self.false_suspects,
+            time(self.drain),
+            time(self.revision),
+            self.removed,
+            time(self.healed),
+            time(self.healed_drain),
+            self.heal_peak,
+            self.churn_sent,
+            time(self.churn_drain),
+            self.churn_events,
+        )
+    }
+}
+
+impl Slope {
+    /// Returns a sentence for each limit that the figures miss.
+    pub fn misses(&self) -> Vec<String> {
+        let mut misses = Vec::new();
+        let mut check = |name: &str, value: Option<f64>, limit: f64| {
+            if value.is_none_or(|value| value > limit) {
+                let value = value.map_or("not reached".to_string(), |v| format!("{v:.2}"));
+                misses.push(format!("{} VMs: {name} {value}, limit {limit}", self.nodes));
+            }
+        };
+        check("CPU percent", Some(self.cpu), LIMIT_CPU);
+        check("heap bytes", Some(self.heap), LIMIT_HEAP);
+        let traffic = self.sent + self.received;
+        check("bytes/s sent and received", Some(traffic), LIMIT_BYTES);
+        check("drain seconds", self.drain, LIMIT_DRAIN);
+        check("drain seconds in churn", self.churn_drain, LIMIT_DRAIN);
+        check("revision seconds", self.revision, LIMIT_REVISION);
+        check("VMs removed by a cut", Some(self.removed as f64), 0.0);
+        misses
+    }
+}
+
+/// Measures every size, prints a line for each as soon as it is done, and returns the figures.
+///
+/// # Errors
+///
+/// Returns an error when the output cannot be written.
+pub fn measure_slopes(options: &SlopeOptions, out: &mut dyn Write) -> io::Result<Vec<Slope>> {
+    writeln!(
+        out,
+        "{} upstreams, {}% loss, seed {}; bytes/s per VM, heap as estimated by the view, times in virtual seconds",
+        options.upstreams, options.loss, options.seed
+    )?;
+    writeln!(
+        out,
+        "  VMs   sent   recv   peak   CPU %  heapMB   resMB  susp  drain    rev  gone   heal h-drn. h-peak  churn c-drn.  ev"
+    )?;
+    let mut slopes = Vec::new();
+    for &nodes in &options.sizes {
+        let slope = measure_size(nodes, options);
+        writeln!(out, "{slope}")?;
+        slopes.push(slope);
+    }
+    for slope in &slopes {
+        let extra = (slope.churn_sent - slope.sent) / CHURN_SPEEDUP;
+        writeln!(
+            out,
+            "{} VMs: the page's churn adds about {extra:.0} bytes/s sent, a part in {CHURN_SPEEDUP} of the storm's",
+            slope.nodes
+        )?;
+    }
+    for miss in slopes.iter().flat_map(Slope::misses) {
+        writeln!(out, "miss: {miss}")?;
+    }
+    Ok(slopes)
+}
+
+fn measure_size(nodes: usize, options: &SlopeOptions) -> Slope {
+    let before = read_resident();
+    let mut fleet = Fleet::new(nodes, options);
+    fleet.run(secs(30.0));
+    let resident = before
+        .zip(read_resident())
+        .map(|(b, a)| (a - b) / nodes as f64);
+    let mut slope = Slope {
+        nodes,
+        resident: resident.filter(|&growth| growth > 0.0),
+        ..Default::default()
+    };
+    fleet.measure_steady(&mut slope);
+    slope.drain = fleet.measure_drains(4);
+    slope.revision = fleet.measure_revisions(4);
+    fleet.measure_cut(&mut slope);
+    fleet.measure_churn(&mut slope);
+    slope.heap = fleet
+        .live()
+        .map(|view| view.estimate_heap())
+        .max()
+        .unwrap_or(0) as f64;
+    slope.peak_sent = fleet.peak as f64;
+    slope
+}
+
+fn secs(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Reads the resident memory of this process in bytes, where the system tells.
+fn read_resident() -> Option<f64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kilobytes: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kilobytes * 1024.0)
+}
+
+impl Fleet {
+    fn measure_steady(&mut self, slope: &mut Slope) {
+        let span = 10;
+        let nodes = self.views.len() as f64;
+        self.sent.fill(0);
+        self.received.fill(0);
+        self.busy = Duration::ZERO;
+        for _ in 0..span {
+            self.run(secs(1.0));
+            slope.false_suspects += self.count_suspects();
+        }
+        let rate = |bytes: &[usize]| bytes.iter().sum::<usize>() as f64 / nodes / f64::from(span);
+        slope.sent = rate(&self.sent);
+        slope.received = rate(&self.received);
+        slope.cpu = self.busy.as_secs_f64() / nodes / f64::from(span) * 100.0;
+    }
+
+    /// Counts pairs of VMs of which one does not hold the other to be live, although both run.
+    fn count_suspects(&self) -> usize {
+        let judge = |view: &View| {
+            let wrong = view.nodes().filter(|node| {
+                let runs = self.views[self.by_id[&node.record.id]].is_some();
+                runs && matches!(node.state(), NodeState::Suspect | NodeState::Dead)
+            });
+            wrong.count()
+        };
+        self.live().map(judge).sum()
+    }
+
+    fn drain_one(&mut self, observer: usize) -> UpstreamId {
+        let (_, upstreams) = &self.indexes[self.next_drain % INDEXES];
+        let id = upstreams[self.next_drain / INDEXES].id.clone();
+        self.next_drain += 1;
+        let now = self.now();
+        if let Some(view) = &mut self.views[observer] {
+            view.observe(&id, Evidence::Replied(UpstreamState::Draining), now);
+        }
+        id
+    }
+
+    /// Runs until the condition held once on every view, and returns the seconds that took, or `None` after 30 s.
+    fn wait(&mut self, done: impl Fn(&View, Instant) -> bool) -> Option<f64> {
+        let begin = self.time;
+        let mut pending: Vec<usize> = (0..self.views.len()).collect();
+        loop {
+            let now = self.now();
+            pending.retain(|&at| self.views[at].as_ref().is_some_and(|view| !done(view, now)));
+            if pending.is_empty() {
+                return Some((self.time - begin).as_secs_f64());
+            }
+            if self.time - begin >= secs(30.0) {
+                return None;
+            }
+            self.run(secs(0.02));
+        }
+    }
+
+    fn wait_drain(&mut self, id: &UpstreamId) -> Option<f64> {
+        self.wait(|view, now| view.health(id, now) == Health::Draining)
+    }
+
+    fn measure_drains(&mut self, count: usize) -> Option<f64> {
+        let mut slowest = Some(0.0);
+        for _ in 0..count {
+            let observer = self.pick_vm();
+            let id = self.drain_one(observer);
+            let time = self.wait_drain(&id);
+            slowest = slowest.zip(time).map(|(a, b): (f64, f64)| a.max(b));
+            self.run(secs(1.0));
+        }
+        slowest
+    }
+
+    fn measure_revisions(&mut self, count: usize) -> Option<f64> {
+        let mut slowest = Some(0.0);
+        for revision in 1..=count as Revision {
+            let at = self.pick_vm();
+            self.schedule(Duration::ZERO, Event::Adopt(at, revision));
+            let time = self.wait(|view, _| view.me().revision >= revision);
+            slowest = slowest.zip(time).map(|(a, b): (f64, f64)| a.max(b));
+            self.run(secs(1.0));
+        }
+        slowest
+    }
+
+    fn measure_cut(&mut self, slope: &mut Slope) {
+        let before = self.views.len();
+        self.cut = Some(0);
+        self.run(secs(15.0));
+        let drain = self.drain_one(1);
+        self.run(secs(10.0));
+        let gone = |view: &View| {
+            let dead = view
+                .nodes()
+                .filter(|n| n.state() == NodeState::Dead)
+                .count();
+            dead + before.saturating_sub(view.nodes().count())
+        };
+        slope.removed = self.live().map(gone).max().unwrap_or(0);
+        self.cut = None;
+        let peak = std::mem::take(&mut self.peak);
+        let healed = |view: &View| {
+            view.zone_names()
+                .all(|name| view.zone(name).is_some_and(|(_, reachable)| reachable))
+                && view.nodes().all(|node| node.state() == NodeState::Live)
+        };
+        let begin = self.time;
+        slope.healed_drain = self.wait_drain(&drain);
+        let passed = (self.time - begin).as_secs_f64();
+        let rest = self.wait(|view, _| healed(view));
+        slope.healed = rest.map(|rest| passed + rest);
+        self.run(secs(3.0));
+        slope.heal_peak = self.peak as f64;
+        self.peak = self.peak.max(peak);
+    }
+
+    /// Restarts and fails VMs while upstreams drain.
+    fn measure_churn(&mut self, slope: &mut Slope) {
+        let nodes = self.live().count() as f64;
+        let scale = nodes / PAGE_NODES * CHURN_SPEEDUP / 86_400.0;
+        let mut due = 0.0;
+        let mut slowest = Some(0.0);
+        self.sent.fill(0);
+        let begin = self.time;
+        for step in 0..6 {
+            due += (PAGE_RESTARTS + PAGE_FAILURES) * scale * 3.0;
+            while due >= 1.0 {
+                due -= 1.0;
+                slope.churn_events += 1;
+                let fails = slope.churn_events.is_multiple_of(23);
+                self.replace_vm(fails);
+            }
+            let observer = self.pick_vm();
+            let id = self.drain_one(observer);
+            let time = self.wait_drain(&id);
+            slowest = slowest.zip(time).map(|(a, b): (f64, f64)| a.max(b));
+            let next = begin + secs(3.0) * (step + 1);
+            self.run(next.saturating_sub(self.time));
+        }
+        let span = (self.time - begin).as_secs_f64();
+        slope.churn_sent = self.sent.iter().sum::<usize>() as f64 / nodes / span;
+        slope.churn_drain = slowest;
+    }
+
+    fn replace_vm(&mut self, fails: bool) {
+        let at = self.pick_vm();
+        let zone = self.zones[at];
+        let now = self.now();
+        if let Some(view) = &mut self.views[at]
+            && !fails
+        {
+            view.leave(now);
+            self.schedule(LEAVE_TIME, Event::Stop(at));
+        } else {
+            self.views[at] = None;
+        }
+        self.add_vm(zone);
+    }
+}
