--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,3 +20,9 @@
 pub mod settings;
 pub mod upstreams;
 pub mod verdict;
+mod fleet;
+mod slopes;
+
+pub use crate::slopes::Slope;
+pub use crate::slopes::SlopeOptions;
+pub use crate::slopes::measure_slopes;
