--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -6,16 +6,16 @@
 pub mod audit;
 mod condition;
 mod cpu;
-mod exchange;
+pub(crate) mod exchange;
 mod html;
 mod ideal;
-mod network;
+pub(crate) mod network;
 mod node;
 mod table;
 mod tally;
 mod targets;
 mod workload;
-mod world;
+pub(crate) mod world;
 
 use std::path::PathBuf;
 use std::sync::Mutex;
--- a/crates/lab/src/bench/exchange.rs
+++ b/crates/lab/src/bench/exchange.rs
@@ -242,7 +242,7 @@
     }
 }
 
-fn snapshot_of(part: &Part) -> Snapshot {
+pub(crate) fn snapshot_of(part: &Part) -> Snapshot {
     Snapshot {
         version: part.version,
         map: part.map,
@@ -250,7 +250,7 @@
 }
 
 /// Translates what the server sends into what the node sees.
-fn build_ending(
+pub(crate) fn build_ending(
     reply: Reply,
     snapshot: Snapshot,
     shard: base::ShardId,
--- a/crates/lab/src/bench/network.rs
+++ b/crates/lab/src/bench/network.rs
@@ -97,6 +97,12 @@
         self.open = self.open.saturating_sub(1);
     }
 
+    /// Closes every connection of one node, because its process ended.
+    pub(crate) fn close_all(&mut self, pool: &mut Pool) {
+        self.open = self.open.saturating_sub(pool.open);
+        *pool = Pool::default();
+    }
+
     /// Loses every connection, because the server stopped.
     pub(crate) fn reset<'a>(&mut self, pools: impl Iterator<Item = &'a mut Pool>) {
         self.open = 0;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod report;
 pub mod rig;
+pub mod scenario;
 pub mod server;
 pub mod settings;
 pub mod upstreams;
--- /dev/null
+++ b/crates/lab/src/scenario/exchange.rs
@@ -0,0 +1,394 @@
+//! The way of a sub-request from a node to a server and back.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::AttemptId;
+use base::Part;
+use base::QueryReply;
+use base::QueryRequest;
+use base::RunRequest;
+use base::ShardId;
+use base::Snapshot;
+use query::Attempt;
+use query::Failure;
+use serde_json::value::RawValue;
+
+use crate::bench::exchange::build_ending;
+use crate::bench::exchange::snapshot_of;
+use crate::bench::network::CONNECT_TIMEOUT;
+use crate::bench::network::Lease;
+use crate::bench::world::Ending;
+use crate::scenario::file::Mechanism;
+use crate::scenario::node::NodeEvent;
+use crate::scenario::world::Event;
+use crate::scenario::world::RunKey;
+use crate::scenario::world::World;
+use crate::server;
+use crate::server::Action;
+use crate::server::Reply;
+
+/// Delay of the second copy of a repeated reply.
+const REPEAT_AFTER: Duration = Duration::from_millis(2);
+
+/// A sub-request on its way; it stays known while the server works, even if its node is gone.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    pub(crate) run: RunKey,
+    /// The call that the request belongs to.
+    pub(crate) call: usize,
+    pub(crate) node: usize,
+    pub(crate) incarnation: u64,
+    pub(crate) server: usize,
+    pub(crate) attempt: Attempt,
+    pub(crate) sent: Instant,
+    /// The epoch of the port if a connection is in use.
+    connection: Option<u32>,
+}
+
+impl World<'_> {
+    fn at_node(&mut self, attempt: AttemptId, at: Instant, event: NodeEvent) {
+        if let Some(flight) = self.flights.get(&attempt) {
+            let event = Event::Node(flight.node, Some(flight.incarnation), event);
+            self.push(at, event);
+        }
+    }
+
+    fn end_at(&mut self, at: Instant, attempt: AttemptId, failure: Failure) {
+        let ending = Box::new(Ending::Failure(failure, None));
+        self.at_node(attempt, at, NodeEvent::End(attempt, ending));
+    }
+
+    /// Prepares a connection for a sub-request.
+    pub(crate) fn connect(&mut self, key: RunKey, attempt: Attempt) {
+        let Some(&server) = self.numbers.get(&attempt.upstream) else {
+            return;
+        };
+        let run = &mut self.runs[key];
+        run.outstanding += 1;
+        let (node, call) = (run.node, run.call);
+        let host = &mut self.hosts[server];
+        let stopped = !host.model.accepts();
+        let pool = &mut self.nodes[node].pools[server];
+        let lease = if stopped {
+            Lease::Refused
+        } else {
+            host.port.lease(pool)
+        };
+        let connection = (lease != Lease::Refused).then_some(host.port.epoch);
+        let connect = host.model.settings().connect;
+        let (id, deadline, zone) = (attempt.id, attempt.deadline, host.zone);
+        let flight = Flight {
+            run: key,
+            call,
+            node,
+            incarnation: self.nodes[node].incarnation,
+            server,
+            attempt,
+            sent: self.now,
+            connection,
+        };
+        self.flights.insert(id, flight);
+        match (lease, self.way(self.nodes[node].zone, zone)) {
+            (Lease::Idle, _) => self.write(id),
+            (Lease::New, Some(way)) => {
+                self.at_node(id, self.now + connect + 2 * way, NodeEvent::Write(id));
+            }
+            (Lease::Refused, Some(way)) => {
+                let failure = if stopped {
+                    Failure::Unreachable
+                } else {
+                    Failure::Refused
+                };
+                self.end_at(self.now + 2 * way, id, failure);
+            }
+            (Lease::New | Lease::Refused, None) => {
+                let at = (self.now + CONNECT_TIMEOUT).min(deadline);
+                self.end_at(at, id, Failure::Unreachable);
+            }
+        }
+    }
+
+    /// Writes a sub-request to its connection; a run is written only if its claim still allows it at this moment.
+    pub(crate) fn write(&mut self, id: AttemptId) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        let (key, node, server) = (flight.run, flight.node, flight.server);
+        if !self.may_send(key) {
+            self.end(id, Ending::Failure(Failure::NotRun, None));
+            return;
+        }
+        let (Some(run), Some(flight)) = (self.runs.get(key), self.flights.get(&id)) else {
+            return;
+        };
+        let message = Box::new(self.message(&run.plan, &flight.attempt, &run.body, server));
+        let deadline = flight.attempt.deadline;
+        match self.way(self.nodes[node].zone, self.hosts[server].zone) {
+            Some(way) => self.push(self.now + way, Event::Deliver(server, message)),
+            // The node closes the connection once the deadline has passed.
+            None => self.end_at(deadline, id, Failure::Lost),
+        }
+    }
+
+    fn message(
+        &self,
+        plan: &query::Plan,
+        attempt: &Attempt,
+        body: &RawValue,
+        server: usize,
+    ) -> server::Event {
+        let left = attempt.deadline.saturating_duration_since(self.now);
+        let deadline_ms = left.as_millis() as u64;
+        if !plan.repeatable {
+            let request = RunRequest {
+                attempt: attempt.id,
+                key: plan.key.clone(),
+                index: plan.index.clone(),
+                shard: attempt.shard,
+                deadline_ms,
+                request: plan.request.clone(),
+                body: body.to_owned(),
+            };
+            return server::Event::Run(attempt.id, request);
+        }
+        let snapshot = self.choose_snapshot(attempt.snapshot, server);
+        let request = QueryRequest {
+            attempt: attempt.id,
+            query: "query".into(),
+            index: plan.index.clone(),
+            version: snapshot.version,
+            map: snapshot.map,
+            shards: vec![attempt.shard],
+            deadline_ms,
+            request: plan.request.clone(),
+            body: body.to_owned(),
+        };
+        server::Event::Query(attempt.id, request)
+    }
+
+    /// Returns the bound snapshot, or the newest that the server holds where the binding is switched off.
+    fn choose_snapshot(&self, bound: Snapshot, server: usize) -> Snapshot {
+        let newest = self.hosts[server].versions.last_key_value();
+        match newest.filter(|_| self.is_off(Mechanism::Snapshot)) {
+            Some((&version, &map)) => Snapshot { version, map },
+            None => bound,
+        }
+    }
+
+    /// Tells the server that a reply is not needed; the message needs no connection of its own here.
+    pub(crate) fn cancel(&mut self, attempt: AttemptId) {
+        let Some(flight) = self.flights.get(&attempt) else {
+            return;
+        };
+        let (node, server) = (flight.node, flight.server);
+        if let Some(way) = self.way(self.nodes[node].zone, self.hosts[server].zone) {
+            let message = Box::new(server::Event::Cancel(attempt));
+            self.push(self.now + way, Event::Deliver(server, message));
+        }
+    }
+
+    /// Gives an event to a server and sends its replies on their way.
+    pub(crate) fn serve(&mut self, server: usize, event: server::Event) {
+        if let server::Event::Query(id, _) | server::Event::Run(id, _) = &event {
+            if self.is_broken(*id) {
+                return;
+            }
+            self.hosts[server].arrivals.push(self.now);
+            let (host, flight) = (&self.hosts[server], &self.flights[id]);
+            let text = format!(
+                "{}: attempt {id:x} of call {} for shard {}",
+                host.model.settings().id,
+                flight.call,
+                flight.attempt.shard
+            );
+            self.note(text);
+        }
+        let host = &mut self.hosts[server];
+        for action in host.model.handle(event, self.now, &mut host.rng) {
+            match action {
+                Action::Reply(attempt, reply) => self.reply_attempt(attempt, reply),
+                Action::WakeAt(at) => {
+                    let host = &mut self.hosts[server];
+                    if host.wake.is_none_or(|wake| at < wake) {
+                        host.wake = Some(at);
+                        self.push(at, Event::Serve(server));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends a request that reaches a server after its connection was lost.
+    fn is_broken(&mut self, attempt: AttemptId) -> bool {
+        let Some(flight) = self.flights.get(&attempt) else {
+            return true;
+        };
+        let host = &self.hosts[flight.server];
+        let broken = !host.model.accepts() || flight.connection != Some(host.port.epoch);
+        if broken {
+            self.end_at(self.now, attempt, Failure::Lost);
+        }
+        broken
+    }
+
+    fn reply_attempt(&mut self, id: AttemptId, reply: Reply) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        let (run, call, node, server) = (flight.run, flight.call, flight.node, flight.server);
+        let Attempt {
+            snapshot,
+            shard,
+            deadline,
+            ..
+        } = flight.attempt;
+        let members = self
+            .maps
+            .get(&snapshot.map)
+            .and_then(|map| map.shard(shard));
+        let members = members.map_or(0, |shard| shard.members);
+        let broken = flight.connection != Some(self.hosts[server].port.epoch);
+        let mut ending = build_ending(reply, snapshot, shard, members, broken);
+        self.record_work(call, &ending, snapshot, shard);
+        self.distort(&mut ending, id, snapshot, shard, members);
+        let Some(way) = self.way(self.nodes[node].zone, self.hosts[server].zone) else {
+            self.end_at(deadline, id, Failure::Lost);
+            return;
+        };
+        let at = self.now + way;
+        if let Ending::Reply(reply) = &ending
+            && self.hosts[server].repeats
+        {
+            self.repeat(reply, run, node, at + REPEAT_AFTER);
+        }
+        self.at_node(id, at, NodeEvent::End(id, Box::new(ending)));
+    }
+
+    /// Records what a server did for a call, which the checks compare with the answer.
+    fn record_work(&mut self, call: usize, ending: &Ending, snapshot: Snapshot, shard: ShardId) {
+        let evidence = &mut self.calls[call].evidence;
+        match ending {
+            Ending::Reply(reply) => {
+                let parts = reply.parts.iter();
+                let sent = parts.map(|part| (snapshot_of(part), part.shard, part.members));
+                evidence.sent.extend(sent);
+                evidence.ran.push((snapshot.map, shard));
+            }
+            Ending::Failure(failure, _) if failure.proves_not_run() => {}
+            Ending::Failure(..) => evidence.ran.push((snapshot.map, shard)),
+        }
+    }
+
+    /// Applies the mechanisms of a runtime that are switched off to a reply.
+    fn distort(
+        &self,
+        ending: &mut Ending,
+        id: AttemptId,
+        snapshot: Snapshot,
+        shard: ShardId,
+        members: u64,
+    ) {
+        match ending {
+            Ending::Reply(reply) if self.is_off(Mechanism::Snapshot) => {
+                for part in &mut reply.parts {
+                    part.version = snapshot.version;
+                    part.map = snapshot.map;
+                }
+            }
+            Ending::Failure(_, Some(state)) if self.is_off(Mechanism::RejectStatus) => {
+                let part = Part {
+                    shard,
+                    version: snapshot.version,
+                    map: snapshot.map,
+                    members,
+                    items: RawValue::NULL.to_owned(),
+                };
+                *ending = Ending::Reply(QueryReply {
+                    attempt: id,
+                    parts: vec![part],
+                    state: *state,
+                    queue_ms: 0,
+                    held: Vec::new(),
+                });
+            }
+            Ending::Failure(failure @ Failure::Lost, _) if self.is_off(Mechanism::Proof) => {
+                *failure = Failure::NotRun;
+            }
+            Ending::Reply(_) | Ending::Failure(..) => {}
+        }
+    }
+
+    /// Delivers a reply again, and to every other query of the node, as interleaved connections would.
+    fn repeat(&mut self, reply: &QueryReply, own: RunKey, node: usize, at: Instant) {
+        let incarnation = Some(self.nodes[node].incarnation);
+        let on_node = self.runs.iter().filter(|(_, run)| run.node == node);
+        let keys: Vec<RunKey> = on_node.map(|(key, _)| key).collect();
+        for key in keys {
+            let mut reply = reply.clone();
+            if self.is_off(Mechanism::AttemptIds) && key != own {
+                let shard = reply.parts.first().map(|part| part.shard);
+                let mut flights = self.flights.values();
+                let taken =
+                    flights.find(|flight| flight.run == key && Some(flight.attempt.shard) == shard);
+                reply.attempt = taken.map_or(reply.attempt, |flight| flight.attempt.id);
+            }
+            let event = NodeEvent::Repeat(key, Box::new(reply));
+            self.push(at, Event::Node(node, incarnation, event));
+        }
+    }
+
+    /// Ends a sub-request on its node: the connection is free again, and the request learns of the end.
+    pub(crate) fn end(&mut self, attempt: AttemptId, ending: Ending) {
+        let Some(flight) = self.flights.remove(&attempt) else {
+            return;
+        };
+        let Flight {
+            run,
+            node,
+            server,
+            sent,
+            ..
+        } = flight;
+        let upstream = flight.attempt.upstream;
+        let lost = matches!(
+            ending,
+            Ending::Failure(Failure::Lost | Failure::Unreachable, None)
+        );
+        let node_state = &mut self.nodes[node];
+        let port = &mut self.hosts[server].port;
+        if flight.connection == Some(port.epoch) {
+            let gate = node_state.limits.key(&upstream);
+            let share = gate.and_then(|key| node_state.limits.gate(key)?.share());
+            let pool = &mut node_state.pools[server];
+            if lost {
+                port.close(pool);
+            } else {
+                port.restore(pool, share);
+            }
+        }
+        let now = self.now;
+        let event = match ending {
+            Ending::Reply(reply) => {
+                self.nodes[node].note_state(&upstream, reply.state, sent, now);
+                query::Event::Reply(reply)
+            }
+            Ending::Failure(failure, state) => {
+                let node = &mut self.nodes[node];
+                if let Some(state) = state {
+                    node.note_state(&upstream, state, sent, now);
+                }
+                let evidence = match failure {
+                    Failure::Unreachable => Some(member::Evidence::ConnectFailed),
+                    Failure::Refused => Some(member::Evidence::ConnectRefused),
+                    Failure::NotRun | Failure::Retired(_) | Failure::Lost => None,
+                };
+                if let Some(evidence) = evidence {
+                    node.view.observe(&upstream, evidence, now);
+                }
+                query::Event::Failed(attempt, failure)
+            }
+        };
+        self.end_attempt(run, event);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario/file.rs
@@ -0,0 +1,475 @@
+//! The scenario language: what a TOML file may contain, read by serde.
+//!
+//! Times are milliseconds since the beginning of the story. Every key is listed here; an unknown one is an error.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::IndexName;
+use base::IndexVersion;
+use base::MapId;
+use base::NodeId;
+use base::Outcome;
+use base::RequestName;
+use base::Revision;
+use base::ServiceName;
+use base::ShardId;
+use base::UpstreamId;
+use base::ZoneName;
+use compact_str::CompactString;
+use query::MissingReason;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use toml::Table;
+use toml::Value;
+
+/// Name by which `cut` and `heal` mean the platform.
+pub(crate) const PLATFORM: &str = "platform";
+
+/// Time that a story goes on after its last step, unless it says when it ends.
+const AFTERMATH: Duration = Duration::from_secs(5);
+
+/// A guarantee of `docs/design.md`, section 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+pub enum Guarantee {
+    /// Single snapshot.
+    G1,
+    /// True coverage.
+    G2,
+    /// The whole answer to the own request.
+    G3,
+    /// Refused means not run.
+    G4,
+    /// At most once.
+    G5,
+    /// No new work for an upstream that is leaving.
+    G6,
+    /// A planned stop interrupts nothing.
+    G7,
+    /// Configuration in force within 4 s, never reverting.
+    G8,
+}
+
+/// A mechanism that a scenario may switch off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Mechanism {
+    /// `limit`: keep within the connection share.
+    Share,
+    /// `limit`: send nothing new to an upstream that is draining.
+    Drain,
+    /// `query`: hedge slow sub-requests.
+    Hedge,
+    /// `query`: retry failed sub-requests.
+    Retry,
+    /// `query`: restart on another snapshot.
+    Restart,
+    /// `query`: cancel sub-requests whose reply is not needed.
+    Cancel,
+    /// Runner: a run waits for its claim.
+    Claim,
+    /// Runner: the send window of a claim is checked at the moment of sending.
+    SendWindow,
+    /// Runner: only a proof counts as not run.
+    Proof,
+    /// Runner: a reply is matched with its attempt by id.
+    AttemptIds,
+    /// Runner: servers are asked for the bound snapshot.
+    Snapshot,
+    /// Runner: an error status is told apart from an empty result.
+    RejectStatus,
+    /// Runner: a planned stop waits for requests in progress.
+    GracefulStop,
+    /// Runner: a lower revision is ignored.
+    RevisionOrder,
+    /// Runner: peers pass configurations on.
+    PeerConfig,
+    /// Runner: heartbeats carry drains, and idle upstreams are probed.
+    DrainNews,
+}
+
+/// One scenario.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct File {
+    /// What happens, in one sentence.
+    pub(crate) story: String,
+    /// Guarantees that the scenario is about.
+    pub(crate) guarantees: Vec<Guarantee>,
+    /// Mechanism that is switched off.
+    pub(crate) without: Option<Mechanism>,
+    /// Whether the scenario has to fail, because the mechanism is needed.
+    #[serde(default)]
+    pub(crate) expect_failure: bool,
+    end_ms: Option<u64>,
+    /// Entry VMs by zone.
+    pub(crate) entries: BTreeMap<ZoneName, Vec<NodeId>>,
+    /// The index and its servers.
+    pub(crate) index: Index,
+    /// Declaration files that are in force from the beginning, by name.
+    pub(crate) declarations: BTreeMap<CompactString, String>,
+    step: Vec<Table>,
+    expect: Vec<Table>,
+    /// Steps in the order of the file.
+    #[serde(skip)]
+    pub(crate) steps: Vec<Step>,
+    /// Expectations in the order of the file.
+    #[serde(skip)]
+    pub(crate) expectations: Vec<Expectation>,
+}
+
+/// The index of a scenario with its servers, which are all alike.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Index {
+    pub(crate) name: IndexName,
+    pub(crate) map: MapId,
+    pub(crate) versions: Vec<IndexVersion>,
+    /// Members of each shard.
+    pub(crate) members: u64,
+    /// Servers by zone.
+    pub(crate) servers: BTreeMap<ZoneName, Vec<UpstreamId>>,
+    /// Replicas of each shard; shards are numbered from 0.
+    pub(crate) shards: Vec<Vec<UpstreamId>>,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+    pub(crate) connect_ms: u64,
+    pub(crate) median_ms: u64,
+    pub(crate) cold_factor: f64,
+    pub(crate) cold_ms: u64,
+    pub(crate) drain_grace_ms: u64,
+}
+
+impl Default for Index {
+    fn default() -> Index {
+        Index {
+            name: "plan-desk".into(),
+            map: 1,
+            versions: vec![7],
+            members: 100,
+            servers: BTreeMap::new(),
+            shards: Vec::new(),
+            slots: 4,
+            connections: 90,
+            connect_ms: 6,
+            median_ms: 5,
+            cold_factor: 10.0,
+            cold_ms: 3_000,
+            drain_grace_ms: 60_000,
+        }
+    }
+}
+
+/// Something that happens at a moment.
+#[derive(Debug, Clone)]
+pub(crate) struct Step {
+    pub(crate) at: Duration,
+    pub(crate) action: Action,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub(crate) enum Action {
+    /// Callers send a request, `count` times.
+    Call(Call),
+    /// An operator publishes declaration files.
+    Publish(Publish),
+    /// An entry VM is gone at once.
+    Kill(NodeId),
+    /// A VM of this name starts with empty state.
+    Start(NodeId),
+    /// An entry VM gets SIGTERM.
+    Stop(NodeId),
+    /// An entry VM is frozen.
+    Pause(NodeId),
+    /// A frozen entry VM goes on and still has its state.
+    Resume(NodeId),
+    /// The first zone loses contact with each of the others, which may include `platform`.
+    Cut(Vec<ZoneName>),
+    /// The first zone finds the others again.
+    Heal(Vec<ZoneName>),
+    /// The platform is up or down.
+    PlatformUp(bool),
+    /// The platform takes longer for each call.
+    PlatformDelay { ms: u64 },
+    /// The replies of the next writes are lost after they took effect.
+    LoseReplies(u32),
+    /// The next reads of the configuration return the value before the newest.
+    LagReads(u32),
+    /// The list of VMs shows the fleet as it was some time ago.
+    LagList { ms: u64 },
+    /// Some replies of a server take longer.
+    Straggle {
+        server: UpstreamId,
+        chance: f64,
+        factor: f64,
+    },
+    /// Every reply of a server takes longer.
+    Slow { server: UpstreamId, factor: f64 },
+    /// A server sheds some requests.
+    Shed { server: UpstreamId, chance: f64 },
+    /// A server begins to leave.
+    Drain(UpstreamId),
+    /// A server starts again with cold caches.
+    Restart(UpstreamId),
+    /// A server is gone.
+    Lose(UpstreamId),
+    /// Every fault of a server ends.
+    Recover(UpstreamId),
+    /// Each reply of a server comes a second time, and once more for another query of the same VM.
+    RepeatReplies(UpstreamId),
+    /// A version is not held any more by the servers named, or by none when none is named.
+    Retire {
+        version: IndexVersion,
+        #[serde(default)]
+        servers: Vec<UpstreamId>,
+    },
+    /// The newest map gets a version, held from now on by the servers named, or by all when none is named.
+    Version {
+        version: IndexVersion,
+        #[serde(default)]
+        servers: Vec<UpstreamId>,
+    },
+    /// The data is divided anew; the old map remains in use until its versions are retired.
+    Repartition {
+        map: MapId,
+        versions: Vec<IndexVersion>,
+        members: u64,
+        shards: Vec<Vec<UpstreamId>>,
+    },
+}
+
+/// A request of callers.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Call {
+    pub(crate) id: CompactString,
+    /// Entry VM; the load balancer chooses one that is ready when absent.
+    pub(crate) to: Option<NodeId>,
+    pub(crate) service: ServiceName,
+    pub(crate) request: RequestName,
+    pub(crate) key: Option<CompactString>,
+    pub(crate) timeout_ms: Option<u64>,
+    #[serde(default = "one")]
+    pub(crate) count: u32,
+    /// Distance between the requests.
+    #[serde(default)]
+    pub(crate) every_ms: u64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// A publish of an operator.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Publish {
+    pub(crate) id: CompactString,
+    pub(crate) base: Option<Revision>,
+    /// Declaration files by name.
+    pub(crate) files: BTreeMap<CompactString, String>,
+}
+
+/// What must be true at the end of the story.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub(crate) enum Expectation {
+    /// Every request of a call step was answered like this.
+    Answer(Answer),
+    /// Every request of a call step ended with a broken connection.
+    Broken { call: CompactString },
+    /// A key was run this many times, counted at the servers.
+    Runs {
+        key: CompactString,
+        #[serde(default)]
+        least: u32,
+        most: u32,
+    },
+    /// The nodes, or all that are in service when none is named, have this revision or a higher one.
+    InForce {
+        #[serde(default)]
+        nodes: Vec<NodeId>,
+        revision: Revision,
+        by_ms: u64,
+    },
+    /// No new work reaches a server after a moment.
+    Quiet { server: UpstreamId, after_ms: u64 },
+    /// At least this many requests were cancelled at the servers, in a queue or while they ran.
+    Cancelled { least: u64 },
+    /// A publish ended like this.
+    Published {
+        publish: CompactString,
+        result: Published,
+        code: Option<u16>,
+    },
+    /// A stopped entry VM has ended its process.
+    Exited { node: NodeId, by_ms: u64 },
+}
+
+/// What an answer must be; a key that is absent allows everything.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Answer {
+    pub(crate) call: CompactString,
+    pub(crate) outcome: Option<Outcome>,
+    pub(crate) code: Option<u16>,
+    /// Codes of which any is right, where the story leaves a race open.
+    #[serde(default)]
+    pub(crate) codes: Vec<u16>,
+    /// Shards in the answer.
+    pub(crate) shards: Option<u32>,
+    /// Members in the answer.
+    pub(crate) members: Option<u64>,
+    pub(crate) missing: Option<Vec<ShardId>>,
+    pub(crate) reason: Option<MissingReason>,
+    pub(crate) version: Option<IndexVersion>,
+    pub(crate) map: Option<MapId>,
+    pub(crate) revision: Option<Revision>,
+    /// Time from the arrival at the entry VM to the answer.
+    pub(crate) within_ms: Option<u64>,
+}
+
+/// How a publish ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Published {
+    Accepted,
+    Unchanged,
+    Refused,
+    Unknown,
+}
+
+impl File {
+    /// Returns the moment at which the story ends.
+    pub(crate) fn end(&self) -> Duration {
+        let last = self.steps.iter().map(|step| step.at).max();
+        self.end_ms
+            .map_or(last.unwrap_or_default() + AFTERMATH, Duration::from_millis)
+    }
+
+    /// Lists the zones of entry VMs and servers.
+    pub(crate) fn zones(&self) -> Vec<ZoneName> {
+        let mut zones: Vec<ZoneName> = self.entries.keys().cloned().collect();
+        zones.extend(self.index.servers.keys().cloned());
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+}
+
+/// Reads a scenario; the error names the step or expectation.
+pub(crate) fn read_file(text: &str) -> Result<File, String> {
+    let mut file: File = toml::from_str(text).map_err(|error| error.to_string())?;
+    for (number, table) in std::mem::take(&mut file.step).into_iter().enumerate() {
+        let step = read_step(table).map_err(|error| format!("step {}: {error}", number + 1))?;
+        file.steps.push(step);
+    }
+    for (number, table) in std::mem::take(&mut file.expect).into_iter().enumerate() {
+        let expectation =
+            read_value(table).map_err(|error| format!("expectation {}: {error}", number + 1))?;
+        file.expectations.push(expectation);
+    }
+    check_names(&file)?;
+    Ok(file)
+}
+
+fn read_step(mut table: Table) -> Result<Step, String> {
+    let at = table.remove("at_ms").and_then(|at| at.as_integer());
+    let at = at.and_then(|at| u64::try_from(at).ok());
+    let at = at.ok_or("at_ms is missing or not a number of milliseconds")?;
+    Ok(Step {
+        at: Duration::from_millis(at),
+        action: read_value(table)?,
+    })
+}
+
+/// Reads a table with one key, which says what it is.
+fn read_value<T: DeserializeOwned>(table: Table) -> Result<T, String> {
+    let value = Value::Table(table);
+    value
+        .try_into()
+        .map_err(|error| error.to_string().trim().to_owned())
+}
+
+/// Finds names that nothing has, which would make a step or an expectation empty.
+fn check_names(file: &File) -> Result<(), String> {
+    let servers: Vec<&UpstreamId> = file.index.servers.values().flatten().collect();
+    let nodes: Vec<&NodeId> = file.entries.values().flatten().collect();
+    let zones = file.zones();
+    for (number, step) in file.steps.iter().enumerate() {
+        let known = match &step.action {
+            Action::Kill(id)
+            | Action::Start(id)
+            | Action::Stop(id)
+            | Action::Pause(id)
+            | Action::Resume(id) => nodes.contains(&id),
+            Action::Call(call) => call.to.as_ref().is_none_or(|id| nodes.contains(&id)),
+            Action::Straggle { server, .. }
+            | Action::Slow { server, .. }
+            | Action::Shed { server, .. }
+            | Action::Drain(server)
+            | Action::Restart(server)
+            | Action::Lose(server)
+            | Action::Recover(server)
+            | Action::RepeatReplies(server) => servers.contains(&server),
+            Action::Retire { servers: named, .. } | Action::Version { servers: named, .. } => {
+                named.iter().all(|id| servers.contains(&id))
+            }
+            Action::Repartition { shards, .. } => {
+                shards.iter().flatten().all(|id| servers.contains(&id))
+            }
+            Action::Cut(places) | Action::Heal(places) => places
+                .iter()
+                .all(|place| place == PLATFORM || zones.contains(place)),
+            Action::Publish(_)
+            | Action::PlatformUp(_)
+            | Action::PlatformDelay { .. }
+            | Action::LoseReplies(_)
+            | Action::LagReads(_)
+            | Action::LagList { .. } => true,
+        };
+        if !known {
+            return Err(format!("step {}: no such VM, server or zone", number + 1));
+        }
+    }
+    let replicas = file.index.shards.iter().flatten();
+    if let Some(id) = replicas.into_iter().find(|id| !servers.contains(id)) {
+        return Err(format!("index: no server {id}"));
+    }
+    check_expectations(file, &servers, &nodes)
+}
+
+fn check_expectations(
+    file: &File,
+    servers: &[&UpstreamId],
+    nodes: &[&NodeId],
+) -> Result<(), String> {
+    for (number, expectation) in file.expectations.iter().enumerate() {
+        let has_call = |id: &CompactString| {
+            let mut steps = file.steps.iter();
+            steps.any(|step| matches!(&step.action, Action::Call(call) if call.id == id))
+        };
+        let has_publish = |id: &CompactString| {
+            let mut steps = file.steps.iter();
+            steps.any(|step| matches!(&step.action, Action::Publish(publish) if publish.id == id))
+        };
+        let known = match expectation {
+            Expectation::Answer(answer) => has_call(&answer.call),
+            Expectation::Broken { call } => has_call(call),
+            Expectation::InForce { nodes: named, .. } => named.iter().all(|id| nodes.contains(&id)),
+            Expectation::Exited { node, .. } => nodes.contains(&node),
+            Expectation::Quiet { server, .. } => servers.contains(&server),
+            Expectation::Published { publish, .. } => has_publish(publish),
+            Expectation::Runs { .. } | Expectation::Cancelled { .. } => true,
+        };
+        if !known {
+            return Err(format!(
+                "expectation {}: no such call, publish, VM or server",
+                number + 1
+            ));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/scenario/node.rs
@@ -0,0 +1,525 @@
+//! An entry VM in virtual time: its machines, its periodic work, and what peers and the platform tell it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::AttemptId;
+use base::IndexState;
+use base::NodeId;
+use base::QueryReply;
+use base::Revision;
+use base::UpstreamId;
+use base::UpstreamState;
+use conf::InForce;
+use conf::Offered;
+use conf::Update;
+use decl::Catalogue;
+use limit::Limits;
+use member::Evidence;
+use member::Health;
+use member::Identity;
+use member::Outgoing;
+use member::TICK;
+use member::View;
+use once::Home;
+use once::HomeEvent;
+use once::HomeOptions;
+use once::Verdict;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use wire::BeatMessage;
+use wire::BeatReply;
+
+use crate::bench::network::Pool;
+use crate::bench::world::Ending;
+use crate::scenario::file::Mechanism;
+use crate::scenario::platform::Lost;
+use crate::scenario::platform::Reply;
+use crate::scenario::platform::Request;
+use crate::scenario::world::Client;
+use crate::scenario::world::Event;
+use crate::scenario::world::RunKey;
+use crate::scenario::world::World;
+
+/// Region of every VM; a story with two regions has two zones that are cut.
+pub(crate) const REGION: &str = "region";
+
+/// Period of the reads that stand for the watches of the configuration and the index.
+const WATCH_PERIOD: Duration = Duration::from_millis(500);
+
+/// Period at which the list of VMs is read, as in the runtime.
+const LIST_PERIOD: Duration = Duration::from_secs(10);
+
+/// Time after which an upstream that was not heard from is probed, as in the runtime.
+const PROBE_AGE: Duration = Duration::from_secs(1);
+
+/// Time for which a stopping node still takes requests, so that the balancer notices.
+const NOTICE: Duration = Duration::from_secs(1);
+
+/// Bound on one pull from a peer, as in the runtime.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Something that happens on a node; it waits while the node is paused, and is lost when it is down.
+#[derive(Debug)]
+pub(crate) enum NodeEvent {
+    Tick,
+    Watch,
+    ReadList,
+    /// A heartbeat of the node with this number.
+    Beat(usize, Box<BeatMessage>),
+    BeatReply(Box<BeatReply>),
+    /// The node with this number asks for what changed after a revision.
+    Pull(usize, Revision),
+    Pulled(Box<Update>),
+    /// The platform's result of a call made at a moment.
+    Stored(Instant, Request, Result<Reply, Lost>),
+    /// The call with this number reaches the node.
+    Receive(usize),
+    /// A claim request of the run on the node with this number.
+    Ask(usize, RunKey, Box<once::Request>),
+    Verdict(RunKey, Verdict),
+    AskLost(RunKey, u32),
+    HomeWake,
+    ClaimWake(RunKey),
+    QueryWake(RunKey),
+    /// The connection for an attempt is ready.
+    Write(AttemptId),
+    End(AttemptId, Box<Ending>),
+    /// A reply that came before, or that belongs to another query.
+    Repeat(RunKey, Box<QueryReply>),
+    /// The state that an upstream names in reply to a probe that was sent at a moment.
+    Probed(UpstreamId, UpstreamState, Instant),
+}
+
+/// An entry VM.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) id: NodeId,
+    pub(crate) zone: usize,
+    pub(crate) incarnation: u64,
+    pub(crate) up: bool,
+    pub(crate) paused: bool,
+    /// When it was told to stop.
+    pub(crate) stopping: Option<Instant>,
+    /// When its process ended after a planned stop.
+    pub(crate) exited: Option<Instant>,
+    pub(crate) view: View,
+    pub(crate) conf: InForce,
+    pub(crate) limits: Limits,
+    pub(crate) home: Home,
+    pub(crate) home_wake: Option<Instant>,
+    pub(crate) index: Option<Arc<IndexState>>,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) next_attempt: AttemptId,
+    pub(crate) rng: Pcg64Mcg,
+    /// Highest revision that was ever in force in this process.
+    peak: Revision,
+    heard: BTreeMap<UpstreamId, Instant>,
+    pulling: Option<Instant>,
+    epoch: u64,
+    backlog: Vec<(Option<u64>, NodeEvent)>,
+}
+
+impl Node {
+    pub(crate) fn new(
+        world: &World<'_>,
+        at: usize,
+        id: &NodeId,
+        zone: usize,
+        incarnation: u64,
+    ) -> Node {
+        let number = at as u64 + 1;
+        let identity = Identity {
+            id: id.clone(),
+            zone: world.zones[zone].clone(),
+            region: REGION.into(),
+            addr: ([10, 0, 0, number as u8], 7000).into(),
+            incarnation,
+        };
+        let mut tuning = limit::Tuning::default();
+        tuning.share &= !world.is_off(Mechanism::Share);
+        tuning.drain &= !world.is_off(Mechanism::Drain);
+        let mut rng = world.rng.clone();
+        let seed = rand::Rng::next_u64(&mut rng) ^ number << 32 ^ incarnation;
+        Node {
+            id: id.clone(),
+            zone,
+            incarnation,
+            up: true,
+            paused: false,
+            stopping: None,
+            exited: None,
+            view: View::new(identity, world.now),
+            conf: InForce::new(world.now),
+            limits: Limits::new(world.zones[zone].clone(), REGION.into(), tuning),
+            home: Home::new(HomeOptions::default()),
+            home_wake: None,
+            index: None,
+            pools: vec![Pool::default(); world.hosts.len()],
+            next_attempt: (number << 16 | incarnation) << 40,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            peak: 0,
+            heard: BTreeMap::new(),
+            pulling: None,
+            epoch: 0,
+            backlog: Vec::new(),
+        }
+    }
+
+    /// Tells whether the balancer may send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows = self.conf.catalogue().is_some() && self.index.is_some();
+        self.up && self.stopping.is_none() && knows && self.view.nodes().count() > 1
+    }
+
+    /// Tells whether requests are refused because the process is about to end.
+    pub(crate) fn is_closed(&self, now: Instant) -> bool {
+        self.stopping.is_some_and(|at| now >= at + NOTICE)
+    }
+
+    fn refresh_shares(&mut self) {
+        let Some(index) = &self.index else { return };
+        for upstream in &index.upstreams {
+            let share = self.view.share(&upstream.id);
+            self.limits
+                .set_upstream(upstream, (share > 0).then_some(share));
+        }
+    }
+
+    /// Takes in the state that an upstream named in a reply to a request sent at `sent`.
+    pub(crate) fn note_state(
+        &mut self,
+        upstream: &UpstreamId,
+        state: UpstreamState,
+        sent: Instant,
+        now: Instant,
+    ) {
+        self.heard.insert(upstream.clone(), now);
+        self.view.observe(upstream, Evidence::Replied(state), now);
+        if let Some(key) = self.limits.key(upstream) {
+            self.limits.note_state(key, state, sent, now);
+        }
+    }
+
+    fn apply_drains(&mut self, now: Instant) {
+        let Some(index) = &self.index else { return };
+        for upstream in &index.upstreams {
+            if self.view.health(&upstream.id, now) == Health::Draining
+                && let Some(key) = self.limits.key(&upstream.id)
+            {
+                self.limits
+                    .note_state(key, UpstreamState::Draining, now, now);
+            }
+        }
+    }
+
+    /// Lists the upstreams that this node holds and has not heard from.
+    fn silent_upstreams(&self, now: Instant) -> Vec<UpstreamId> {
+        let recent = |id: &UpstreamId| {
+            let heard = self.heard.get(id);
+            heard.is_some_and(|at| now.saturating_duration_since(*at) < PROBE_AGE)
+        };
+        let groups = self.view.groups();
+        groups
+            .filter(|(name, group)| self.view.holders(name, &group.zone).contains(&&self.id))
+            .flat_map(|(_, group)| &group.upstreams)
+            .filter(|id| !recent(id))
+            .cloned()
+            .collect()
+    }
+}
+
+impl World<'_> {
+    /// Starts a process on a VM, which knows nothing but its settings.
+    pub(crate) fn start_node(&mut self, at: usize) {
+        let node = &self.nodes[at];
+        let (id, zone, incarnation) = (node.id.clone(), node.zone, node.incarnation + 1);
+        self.nodes[at] = Node::new(self, at, &id, zone, incarnation);
+        for event in [NodeEvent::Tick, NodeEvent::Watch, NodeEvent::ReadList] {
+            self.push(self.now, Event::Node(at, Some(incarnation), event));
+        }
+        self.update_list();
+    }
+
+    /// Ends a process at once; its connections and its callers' break.
+    pub(crate) fn kill_node(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.up = false;
+        node.backlog.clear();
+        for (pool, host) in node.pools.iter_mut().zip(&mut self.hosts) {
+            host.port.close_all(pool);
+        }
+        self.break_calls(at);
+        self.update_list();
+    }
+
+    pub(crate) fn resume_node(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.paused = false;
+        for (incarnation, event) in std::mem::take(&mut node.backlog) {
+            self.push(self.now, Event::Node(at, incarnation, event));
+        }
+    }
+
+    pub(crate) fn stop_node(&mut self, at: usize) {
+        let now = self.now;
+        if self.is_off(Mechanism::GracefulStop) {
+            self.kill_node(at);
+            return;
+        }
+        let node = &mut self.nodes[at];
+        node.stopping = Some(now);
+        node.view.leave(now);
+    }
+
+    /// Tells the platform which VMs are in service; its list may lag behind this.
+    pub(crate) fn update_list(&mut self) {
+        let up = self.nodes.iter().enumerate().filter(|(_, node)| node.up);
+        let list = up.map(|(at, node)| base::Vm {
+            id: node.id.clone(),
+            role: base::VmRole::Entry,
+            addr: ([10, 0, 0, at as u8 + 1], 7000).into(),
+            zone: self.zones[node.zone].clone(),
+            region: REGION.into(),
+            state: base::VmState::Live,
+        });
+        let list = list.collect();
+        self.platform.set_list(list, self.now);
+    }
+
+    pub(crate) fn handle_node(&mut self, at: usize, incarnation: Option<u64>, event: NodeEvent) {
+        let node = &mut self.nodes[at];
+        let same = incarnation.is_none_or(|incarnation| incarnation == node.incarnation);
+        if !node.up || !same {
+            return;
+        }
+        if node.paused {
+            node.backlog.push((incarnation, event));
+            return;
+        }
+        match event {
+            NodeEvent::Tick => self.tick(at),
+            NodeEvent::Watch => self.watch(at),
+            NodeEvent::ReadList => {
+                self.ask_platform(at, Request::List);
+                self.again(at, LIST_PERIOD, NodeEvent::ReadList);
+            }
+            NodeEvent::Beat(from, beat) => self.receive_beat(at, from, &beat),
+            NodeEvent::BeatReply(reply) => self.nodes[at].view.receive_reply(&reply, self.now),
+            NodeEvent::Pull(from, since) => {
+                if let Some(update) = self.nodes[at].conf.update_since(since) {
+                    self.send_peer(at, from, NodeEvent::Pulled(Box::new(update)));
+                }
+            }
+            NodeEvent::Pulled(update) => self.take_update(at, *update),
+            NodeEvent::Stored(asked, request, result) => self.stored(at, asked, request, result),
+            NodeEvent::Receive(call) => self.receive_call(at, call),
+            NodeEvent::Ask(from, run, request) => self.take_ask(at, from, run, *request),
+            NodeEvent::Verdict(run, verdict) => {
+                self.drive_claim(run, once::ClaimantEvent::Verdict(verdict));
+            }
+            NodeEvent::AskLost(run, number) => {
+                self.drive_claim(run, once::ClaimantEvent::AskLost(number));
+            }
+            NodeEvent::HomeWake => {
+                if self.nodes[at].home_wake == Some(self.now) {
+                    self.feed_home(at, HomeEvent::Wake);
+                }
+            }
+            NodeEvent::ClaimWake(run) => self.wake_claim(run),
+            NodeEvent::QueryWake(run) => self.drive_query(run, query::Event::Wake),
+            NodeEvent::Write(attempt) => self.write(attempt),
+            NodeEvent::End(attempt, ending) => self.end(attempt, *ending),
+            NodeEvent::Repeat(run, reply) => self.drive_query(run, query::Event::Reply(*reply)),
+            NodeEvent::Probed(upstream, state, sent) => {
+                let now = self.now;
+                self.nodes[at].note_state(&upstream, state, sent, now);
+            }
+        }
+    }
+
+    fn again(&mut self, at: usize, after: Duration, event: NodeEvent) {
+        let incarnation = Some(self.nodes[at].incarnation);
+        self.push(self.now + after, Event::Node(at, incarnation, event));
+    }
+
+    pub(crate) fn ask_platform(&mut self, at: usize, request: Request) {
+        let client = Client::Node(at, self.nodes[at].incarnation);
+        self.call_platform(client, request);
+    }
+
+    fn tick(&mut self, at: usize) {
+        let now = self.now;
+        self.again(at, TICK, NodeEvent::Tick);
+        let news = !self.is_off(Mechanism::DrainNews);
+        let node = &mut self.nodes[at];
+        let outgoing = node.view.tick(now, &mut node.rng);
+        if node.epoch != node.view.epoch() {
+            node.epoch = node.view.epoch();
+            node.refresh_shares();
+        }
+        if news {
+            node.apply_drains(now);
+        }
+        let silent = if news {
+            node.silent_upstreams(now)
+        } else {
+            Vec::new()
+        };
+        outgoing
+            .into_iter()
+            .for_each(|beat| self.send_beat(at, beat));
+        self.pull(at);
+        silent.iter().for_each(|upstream| self.probe(at, upstream));
+        if self.nodes[at].is_closed(now) && !self.is_busy(at) {
+            self.nodes[at].exited = Some(now);
+            let text = format!("{}: the process has ended", self.nodes[at].id);
+            self.note(text);
+            self.kill_node(at);
+        }
+    }
+
+    fn send_beat(&mut self, at: usize, outgoing: Outgoing) {
+        if let Some(to) = self.find_node(&outgoing.to) {
+            self.send_peer(at, to, NodeEvent::Beat(at, Box::new(outgoing.beat)));
+        }
+    }
+
+    pub(crate) fn find_node(&self, id: &NodeId) -> Option<usize> {
+        self.nodes.iter().position(|node| node.id == *id)
+    }
+
+    fn receive_beat(&mut self, at: usize, from: usize, beat: &BeatMessage) {
+        let reply = self.nodes[at].view.receive(beat, self.now);
+        self.send_peer(at, from, NodeEvent::BeatReply(Box::new(reply)));
+    }
+
+    /// Fetches a revision that a peer has and this node lacks.
+    fn pull(&mut self, at: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        let revision = node.conf.revision();
+        let newest = node.view.newest().filter(|newest| newest.0 > revision);
+        let Some(peer) = newest.map(|(_, peer)| peer.clone()) else {
+            return;
+        };
+        let waits = node.pulling.is_some_and(|since| now < since + PULL_TIMEOUT);
+        if waits || self.is_off(Mechanism::PeerConfig) {
+            return;
+        }
+        self.nodes[at].pulling = Some(now);
+        if let Some(peer) = self.find_node(&peer) {
+            self.send_peer(at, peer, NodeEvent::Pull(at, revision));
+        }
+    }
+
+    fn take_update(&mut self, at: usize, update: Update) {
+        let node = &mut self.nodes[at];
+        node.pulling = None;
+        let offered = node.conf.offer_update(update, self.now);
+        self.announce(at, offered == Offered::Changed);
+    }
+
+    fn probe(&mut self, at: usize, upstream: &UpstreamId) {
+        let Some(&server) = self.numbers.get(upstream) else {
+            return;
+        };
+        let host = &self.hosts[server];
+        let Some(way) = self.way(self.nodes[at].zone, host.zone) else {
+            return;
+        };
+        if host.model.accepts() {
+            let state = host.model.state(self.now + way);
+            let event = NodeEvent::Probed(upstream.clone(), state, self.now);
+            self.again(at, 2 * way, event);
+        }
+    }
+
+    /// Reads the index, and as a relay or without a configuration also the configuration.
+    fn watch(&mut self, at: usize) {
+        self.again(at, WATCH_PERIOD, NodeEvent::Watch);
+        self.ask_platform(at, Request::Index);
+        let node = &self.nodes[at];
+        let zone = &self.zones[node.zone];
+        if node.conf.catalogue().is_none() || node.view.relays(zone).contains(&&node.id) {
+            self.ask_platform(at, Request::Config);
+        }
+    }
+
+    fn stored(&mut self, at: usize, asked: Instant, request: Request, result: Result<Reply, Lost>) {
+        let now = self.now;
+        match (request, result) {
+            (Request::PutLedger(id, ..), result) => self.ledger_written(at, id, result),
+            (Request::Ledger(id), result) => self.ledger_read(at, id, result),
+            (_, Ok(Reply::Config(_, catalogue))) => self.take_catalogue(at, catalogue, asked),
+            (_, Ok(Reply::Index(index))) => {
+                let node = &mut self.nodes[at];
+                if node.index.as_ref() != Some(&index) {
+                    node.view.set_upstreams(&index.index, &index.upstreams, now);
+                    node.index = Some(index);
+                    node.refresh_shares();
+                }
+            }
+            (_, Ok(Reply::List(list))) => {
+                let node = &mut self.nodes[at];
+                node.view.set_list(&list, now);
+                node.refresh_shares();
+            }
+            (Request::Config, Err(_)) if self.nodes[at].conf.catalogue().is_none() => {
+                self.ask_seeds(at);
+            }
+            (_, Ok(_) | Err(_)) => {}
+        }
+    }
+
+    fn take_catalogue(&mut self, at: usize, catalogue: Arc<Catalogue>, asked: Instant) {
+        let revision = catalogue.revision;
+        let unordered = self.is_off(Mechanism::RevisionOrder);
+        let node = &mut self.nodes[at];
+        if unordered && revision < node.conf.revision() {
+            node.conf = InForce::new(self.now);
+        }
+        let changed = node.conf.offer(catalogue, self.now);
+        node.conf.confirm(revision, asked);
+        self.announce(at, changed);
+    }
+
+    /// Introduces a node without a configuration to all others, and asks for the highest revision that they have.
+    fn ask_seeds(&mut self, at: usize) {
+        let me = self.nodes[at].view.me().to_message();
+        for seed in (0..self.nodes.len()).filter(|&seed| seed != at) {
+            let beat = BeatMessage {
+                sender: Some(me.clone()),
+                ..BeatMessage::default()
+            };
+            self.send_peer(at, seed, NodeEvent::Beat(at, Box::new(beat)));
+            if !self.is_off(Mechanism::PeerConfig) {
+                self.send_peer(at, seed, NodeEvent::Pull(at, 0));
+            }
+        }
+    }
+
+    fn announce(&mut self, at: usize, changed: bool) {
+        if !changed {
+            return;
+        }
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        let revision = node.conf.revision();
+        node.view.set_revision(revision, now);
+        let text = format!("{}: revision {revision} in force", node.id);
+        let reverted = (revision < node.peak).then(|| {
+            format!(
+                "{}: revision {revision} in force after revision {}",
+                node.id, node.peak
+            )
+        });
+        node.peak = node.peak.max(revision);
+        self.note(text);
+        if let Some(text) = reverted {
+            self.fail(text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario/operator.rs
@@ -0,0 +1,106 @@
+//! Operators that publish declaration files.
+
+use std::time::Duration;
+
+use conf::Action;
+use conf::Event;
+use conf::Publish;
+use conf::Published;
+use decl::Changes;
+use decl::parse_declaration;
+
+use crate::scenario::file;
+use crate::scenario::platform::Lost;
+use crate::scenario::platform::Reply;
+use crate::scenario::platform::Request;
+use crate::scenario::world::Client;
+use crate::scenario::world::World;
+
+/// Time that an operator's command waits before it reads again after a failure.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// A publish in progress or ended.
+#[derive(Debug)]
+pub(crate) struct Operator {
+    /// Number of the step.
+    pub(crate) step: usize,
+    pub(crate) id: compact_str::CompactString,
+    pub(crate) result: Option<Published>,
+    machine: Publish,
+}
+
+/// Parses the files of a publish, or of the beginning.
+pub(crate) fn read_changes<'a>(
+    files: impl IntoIterator<Item = (&'a compact_str::CompactString, &'a String)>,
+) -> Result<Changes, String> {
+    let mut changes = Changes::new();
+    for (name, text) in files {
+        let declaration = parse_declaration(name, text)
+            .map_err(|faults| faults.first().map(ToString::to_string).unwrap_or_default())?;
+        changes.insert(name.clone(), Some(declaration));
+    }
+    Ok(changes)
+}
+
+impl World<'_> {
+    pub(crate) fn publish(&mut self, step: usize, publish: &file::Publish) {
+        let changes = match read_changes(&publish.files) {
+            Ok(changes) => changes,
+            Err(error) => return self.fail(format!("step {}: {error}", step + 1)),
+        };
+        let mut machine = Publish::new(publish.id.clone(), changes, publish.base);
+        let action = machine.handle(Event::Start);
+        self.operators.push(Operator {
+            step,
+            id: publish.id.clone(),
+            result: None,
+            machine,
+        });
+        self.act(self.operators.len() - 1, action);
+    }
+
+    pub(crate) fn advance_operator(
+        &mut self,
+        number: usize,
+        request: Request,
+        result: Result<Reply, Lost>,
+    ) {
+        let operator = &mut self.operators[number];
+        if operator.result.is_some() {
+            return;
+        }
+        let event = match (request, result) {
+            (_, Ok(Reply::Config(version, catalogue))) => Event::Found {
+                version,
+                catalogue: Box::new((*catalogue).clone()),
+            },
+            (_, Ok(Reply::Applied(_))) => Event::Applied,
+            (_, Ok(Reply::Conflict(version))) => Event::Conflict { version },
+            (Request::PutConfig(..), Err(Lost::NotSent)) => Event::NotSent,
+            (Request::PutConfig(..), Err(Lost::NoReply)) => Event::ReplyLost,
+            (_, Ok(_) | Err(_)) => Event::ReadFailed,
+        };
+        let action = operator.machine.handle(event);
+        self.act(number, action);
+    }
+
+    fn act(&mut self, number: usize, action: Action) {
+        let client = Client::Operator(number);
+        match action {
+            Action::Read { pause: false } => self.call_platform(client, Request::Config),
+            Action::Read { pause: true } => {
+                let event = crate::scenario::world::Event::OperatorRead(number);
+                self.push(self.now + PAUSE, event);
+            }
+            Action::Update {
+                if_version,
+                catalogue,
+            } => self.call_platform(client, Request::PutConfig(if_version, catalogue)),
+            Action::Finish(published) => {
+                let id = self.operators[number].id.clone();
+                self.note(format_args!("publish {id} ends: {published:?}"));
+                self.operators[number].result = Some(published);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/scenario.rs
@@ -0,0 +1,84 @@
+//! Runs every scenario file, and checks that the language itself reports what is wrong.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use lab::scenario::run_directory;
+use lab::scenario::run_file;
+use lab::scenario::run_text;
+use rstest::rstest;
+
+fn scenarios() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios")
+}
+
+fn read(name: &str) -> String {
+    fs::read_to_string(scenarios().join(name)).unwrap()
+}
+
+/// Guards against a guarantee that some failure breaks, and against a scenario that proves nothing because it also
+/// passes without its mechanism. The list of files is made when this test is compiled.
+#[rstest]
+fn test_scenario_comes_out_as_its_file_says(
+    #[files("../../scenarios/*.toml")] path: PathBuf,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut out = Vec::new();
+    let passed = run_file(&path, seed, false, &mut out).unwrap();
+    assert!(passed, "{}", String::from_utf8_lossy(&out));
+}
+
+/// Guards against a misspelt key, name or number that silently removes a fault or an expectation.
+#[rstest]
+#[case::key_of_file("story =", "storry =", "storry")]
+#[case::key_of_step("every_ms", "evry_ms", "step 1")]
+#[case::step("retire =", "retiere =", "step 3")]
+#[case::time("at_ms = 0", "at = 0", "step 1")]
+#[case::expectation("answer =", "anser =", "expectation 1")]
+#[case::server("{ version = 8 }", "{ version = 8, servers = [\"u9\"] }", "step 2")]
+#[case::call("{ call = \"first\"", "{ call = \"fourth\"", "expectation 1")]
+#[case::code("code = 100", "code = \"100\"", "expectation 1")]
+fn test_mistakes_in_a_file_are_errors(#[case] from: &str, #[case] to: &str, #[case] names: &str) {
+    let text = read("g1-version-retired.toml");
+    assert!(text.contains(from));
+    let error = run_text(&text.replacen(from, to, 1), 1).unwrap_err();
+    assert!(error.contains(names), "{error}");
+}
+
+/// Guards against an expectation that is read and then not compared.
+#[rstest]
+#[case::code("g1-version-retired", "code = 100", "code = 201")]
+#[case::shards("g1-version-retired", "shards = 4", "shards = 3")]
+#[case::members("g1-version-retired", "members = 400", "members = 300")]
+#[case::map("g1-version-retired", "map = 1 }", "map = 2 }")]
+#[case::runs("g5-lost-claim-reply", "least = 1", "least = 2")]
+#[case::revision("g8-zone-without-platform", "revision = 2", "revision = 3")]
+#[case::time("g8-zone-without-platform", "by_ms = 4500", "by_ms = 501")]
+#[case::publish("g8-zone-without-platform", "\"accepted\"", "\"refused\"")]
+fn test_wrong_expectation_fails(#[case] name: &str, #[case] from: &str, #[case] to: &str) {
+    let text = read(&format!("{name}.toml"));
+    assert!(text.contains(from));
+    let report = run_text(&text.replace(from, to), 1).unwrap();
+    let first = report.failures.first().expect("the expectation is wrong");
+    assert!(
+        first.contains("expected") && first.contains("got"),
+        "{first}"
+    );
+}
+
+/// Guards against a run that depends on anything but the seed, which could not be repeated from a trace.
+#[test]
+fn test_same_seed_gives_the_same_events() {
+    let text = read("g1-version-retired.toml");
+    let first = run_text(&text, 4).unwrap();
+    assert_eq!(first, run_text(&text, 4).unwrap());
+    assert_ne!(first.events, run_text(&text, 5).unwrap().events);
+}
+
+/// Guards against a directory by mistake, in which nothing fails because there is nothing.
+#[test]
+fn test_directory_without_scenarios_is_an_error() {
+    let empty = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    assert!(run_directory(&empty, 1, false, &mut Vec::new()).is_err());
+}
