Let attempts of scenarios wait for their connection share

Cause: the runner opened a connection for every attempt that had a permit. A cancelled attempt gives its permit back at once and keeps its connection until the reply, so under load a node went over its share, which the runtime never does: its pool makes the request wait.

Change: an attempt waits while every connection of the share is in use, until its deadline, as in the runtime's pool. A node without an index answers as the runtime does. A story lasts until its last request.

--- a/crates/lab/src/bench/network.rs
+++ b/crates/lab/src/bench/network.rs
@@ -31,6 +31,13 @@
     open: u32,
 }
 
+impl Pool {
+    /// Tells whether a request has to wait, because every connection of the node's share is in use.
+    pub(crate) fn is_full(&self, share: Option<u32>) -> bool {
+        self.idle == 0 && share.is_some_and(|share| self.open >= share)
+    }
+}
+
 /// Counts the connections that a server has accepted.
 #[derive(Debug)]
 pub(crate) struct Port {
--- a/crates/lab/src/scenario/call.rs
+++ b/crates/lab/src/scenario/call.rs
@@ -1,9 +1,11 @@
 //! Requests of callers on an entry VM: the query, or the claim and the run.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use base::Code;
+use base::IndexState;
 use compact_str::CompactString;
 use compact_str::format_compact;
 use once::Claimant;
@@ -214,9 +216,16 @@
         };
         let (at, claims) = (run.node, run.claimant.is_some());
         let node = &mut self.nodes[at];
-        let (Some(query), Some(index)) = (&mut run.query, node.index.clone()) else {
+        let Some(query) = &mut run.query else {
             return;
         };
+        let index = node.index.clone().unwrap_or_else(|| {
+            Arc::new(IndexState {
+                index: run.plan.index.clone(),
+                maps: Vec::new(),
+                upstreams: Vec::new(),
+            })
+        });
         let mut env = Env {
             index: &index,
             limits: &mut node.limits,
--- a/crates/lab/src/scenario/claim.rs
+++ b/crates/lab/src/scenario/claim.rs
@@ -139,6 +139,9 @@
     /// Hands a claim request to this node's home; the ticket is the key of the run.
     pub(crate) fn take_ask(&mut self, at: usize, from: usize, run: RunKey, request: once::Request) {
         let ticket = slotmap::Key::data(&run).as_ffi();
+        let (key, operation) = (request.spec.key.key(), &request.operation);
+        let text = format!("{}: home of key {key}: {operation:?}", self.nodes[at].id);
+        self.note(text);
         self.asked.insert((at, ticket), from);
         self.feed_home(at, HomeEvent::Request(ticket, request));
     }
--- a/crates/lab/src/scenario/exchange.rs
+++ b/crates/lab/src/scenario/exchange.rs
@@ -10,6 +10,8 @@
 use base::RunRequest;
 use base::ShardId;
 use base::Snapshot;
+use base::UpstreamId;
+use limit::Limits;
 use query::Attempt;
 use query::Failure;
 use serde_json::value::RawValue;
@@ -46,6 +48,14 @@
     connection: Option<u32>,
 }
 
+/// Period at which a request looks for a free connection of its node's share.
+const SHARE_POLL: Duration = Duration::from_millis(1);
+
+/// Returns the connections that a node may have open to an upstream.
+fn find_share(limits: &Limits, upstream: &UpstreamId) -> Option<u32> {
+    limits.gate(limits.key(upstream)?)?.share()
+}
+
 impl World<'_> {
     fn at_node(&mut self, attempt: AttemptId, at: Instant, event: NodeEvent) {
         if let Some(flight) = self.flights.get(&attempt) {
@@ -66,30 +76,50 @@
         };
         let run = &mut self.runs[key];
         run.outstanding += 1;
-        let (node, call) = (run.node, run.call);
-        let host = &mut self.hosts[server];
-        let stopped = !host.model.accepts();
-        let pool = &mut self.nodes[node].pools[server];
-        let lease = if stopped {
-            Lease::Refused
-        } else {
-            host.port.lease(pool)
-        };
-        let connection = (lease != Lease::Refused).then_some(host.port.epoch);
-        let connect = host.model.settings().connect;
-        let (id, deadline, zone) = (attempt.id, attempt.deadline, host.zone);
+        let id = attempt.id;
         let flight = Flight {
             run: key,
-            call,
-            node,
-            incarnation: self.nodes[node].incarnation,
+            call: run.call,
+            node: run.node,
+            incarnation: self.nodes[run.node].incarnation,
             server,
             attempt,
             sent: self.now,
-            connection,
+            connection: None,
         };
         self.flights.insert(id, flight);
-        match (lease, self.way(self.nodes[node].zone, zone)) {
+        self.lease(id);
+    }
+
+    /// Takes an idle or a new connection, or waits while every connection of the share is in use.
+    pub(crate) fn lease(&mut self, id: AttemptId) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let share_is_off = self.file.without == Some(Mechanism::Share);
+        let node = &mut self.nodes[flight.node];
+        let host = &mut self.hosts[flight.server];
+        let share = find_share(&node.limits, &flight.attempt.upstream);
+        let pool = &mut node.pools[flight.server];
+        let deadline = flight.attempt.deadline;
+        let stopped = !host.model.accepts();
+        if pool.is_full(share) && !share_is_off && !stopped {
+            if self.now >= deadline {
+                self.end_at(self.now, id, Failure::NotRun);
+            } else {
+                self.at_node(id, self.now + SHARE_POLL, NodeEvent::Lease(id));
+            }
+            return;
+        }
+        let lease = if stopped {
+            Lease::Refused
+        } else {
+            host.port.lease(pool)
+        };
+        flight.connection = (lease != Lease::Refused).then_some(host.port.epoch);
+        let connect = host.model.settings().connect;
+        let (from, to) = (node.zone, host.zone);
+        match (lease, self.way(from, to)) {
             (Lease::Idle, _) => self.write(id),
             (Lease::New, Some(way)) => {
                 self.at_node(id, self.now + connect + 2 * way, NodeEvent::Write(id));
@@ -182,6 +212,11 @@
             return;
         };
         let (node, server) = (flight.node, flight.server);
+        if flight.connection.is_none() {
+            // It still waits for a connection.
+            self.end_at(self.now, attempt, Failure::NotRun);
+            return;
+        }
         if let Some(way) = self.way(self.nodes[node].zone, self.hosts[server].zone) {
             let message = Box::new(server::Event::Cancel(attempt));
             self.push(self.now + way, Event::Deliver(server, message));
@@ -358,8 +393,7 @@
         let node_state = &mut self.nodes[node];
         let port = &mut self.hosts[server].port;
         if flight.connection == Some(port.epoch) {
-            let gate = node_state.limits.key(&upstream);
-            let share = gate.and_then(|key| node_state.limits.gate(key)?.share());
+            let share = find_share(&node_state.limits, &upstream);
             let pool = &mut node_state.pools[server];
             if lost {
                 port.close(pool);
--- a/crates/lab/src/scenario/file.rs
+++ b/crates/lab/src/scenario/file.rs
@@ -344,9 +344,12 @@
 impl File {
     /// Returns the moment at which the story ends.
     pub(crate) fn end(&self) -> Duration {
-        let last = self.steps.iter().map(|step| step.at).max();
-        self.end_ms
-            .map_or(last.unwrap_or_default() + AFTERMATH, Duration::from_millis)
+        let last = self.steps.iter().map(|step| match &step.action {
+            Action::Call(call) => step.at + Duration::from_millis(call.every_ms) * call.count,
+            _ => step.at,
+        });
+        let end = last.max().unwrap_or_default() + AFTERMATH;
+        self.end_ms.map_or(end, Duration::from_millis)
     }
 
     /// Lists the zones of entry VMs and servers.
--- a/crates/lab/src/scenario/node.rs
+++ b/crates/lab/src/scenario/node.rs
@@ -84,6 +84,8 @@
     HomeWake,
     ClaimWake(RunKey),
     QueryWake(RunKey),
+    /// An attempt looks again for a free connection.
+    Lease(AttemptId),
     /// The connection for an attempt is ready.
     Write(AttemptId),
     End(AttemptId, Box<Ending>),
@@ -330,6 +332,7 @@
             }
             NodeEvent::ClaimWake(run) => self.wake_claim(run),
             NodeEvent::QueryWake(run) => self.drive_query(run, query::Event::Wake),
+            NodeEvent::Lease(attempt) => self.lease(attempt),
             NodeEvent::Write(attempt) => self.write(attempt),
             NodeEvent::End(attempt, ending) => self.end(attempt, *ending),
             NodeEvent::Repeat(run, reply) => self.drive_query(run, query::Event::Reply(*reply)),
