--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -42,6 +42,7 @@
 mod call;
 mod check;
 mod claim;
+mod control;
 mod exchange;
 mod file;
 mod node;
--- a/crates/lab/src/scenario/node.rs
+++ b/crates/lab/src/scenario/node.rs
@@ -13,15 +13,11 @@
 use base::UpstreamId;
 use base::UpstreamState;
 use conf::InForce;
-use conf::Offered;
 use conf::Update;
-use decl::Catalogue;
 use limit::Limits;
 use member::Evidence;
 use member::Health;
 use member::Identity;
-use member::Outgoing;
-use member::TICK;
 use member::View;
 use once::Home;
 use once::HomeEvent;
@@ -34,6 +30,7 @@
 
 use crate::bench::network::Pool;
 use crate::bench::world::Ending;
+use crate::scenario::call::End;
 use crate::scenario::file::Mechanism;
 use crate::scenario::platform::Lost;
 use crate::scenario::platform::Reply;
@@ -46,9 +43,6 @@
 /// Region of every VM; a story with two regions has two zones that are cut.
 pub(crate) const REGION: &str = "region";
 
-/// Period of the reads that stand for the watches of the configuration and the index.
-const WATCH_PERIOD: Duration = Duration::from_millis(500);
-
 /// Period at which the list of VMs is read, as in the runtime.
 const LIST_PERIOD: Duration = Duration::from_secs(10);
 
@@ -58,9 +52,6 @@
 /// Time for which a stopping node still takes requests, so that the balancer notices.
 const NOTICE: Duration = Duration::from_secs(1);
 
-/// Bound on one pull from a peer, as in the runtime.
-const PULL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Something that happens on a node; it waits while the node is paused, and is lost when it is down.
 #[derive(Debug)]
 pub(crate) enum NodeEvent {
@@ -91,6 +82,8 @@
     End(AttemptId, Box<Ending>),
     /// A reply that came before, or that belongs to another query.
     Repeat(RunKey, Box<QueryReply>),
+    /// SIGTERM, which a frozen process gets when it goes on.
+    Stop,
     /// The state that an upstream names in reply to a probe that was sent at a moment.
     Probed(UpstreamId, UpstreamState, Instant),
 }
@@ -119,10 +112,10 @@
     pub(crate) next_attempt: AttemptId,
     pub(crate) rng: Pcg64Mcg,
     /// Highest revision that was ever in force in this process.
-    peak: Revision,
+    pub(crate) peak: Revision,
     heard: BTreeMap<UpstreamId, Instant>,
-    pulling: Option<Instant>,
-    epoch: u64,
+    pub(crate) pulling: Option<Instant>,
+    pub(crate) epoch: u64,
     backlog: Vec<(Option<u64>, NodeEvent)>,
 }
 
@@ -184,7 +177,7 @@
         self.stopping.is_some_and(|at| now >= at + NOTICE)
     }
 
-    fn refresh_shares(&mut self) {
+    pub(crate) fn refresh_shares(&mut self) {
         let Some(index) = &self.index else { return };
         for upstream in &index.upstreams {
             let share = self.view.share(&upstream.id);
@@ -208,7 +201,7 @@
         }
     }
 
-    fn apply_drains(&mut self, now: Instant) {
+    pub(crate) fn apply_drains(&mut self, now: Instant) {
         let Some(index) = &self.index else { return };
         for upstream in &index.upstreams {
             if self.view.health(&upstream.id, now) == Health::Draining
@@ -221,7 +214,7 @@
     }
 
     /// Lists the upstreams that this node holds and has not heard from.
-    fn silent_upstreams(&self, now: Instant) -> Vec<UpstreamId> {
+    pub(crate) fn silent_upstreams(&self, now: Instant) -> Vec<UpstreamId> {
         let recent = |id: &UpstreamId| {
             let heard = self.heard.get(id);
             heard.is_some_and(|at| now.saturating_duration_since(*at) < PROBE_AGE)
@@ -252,10 +245,15 @@
     pub(crate) fn kill_node(&mut self, at: usize) {
         let node = &mut self.nodes[at];
         node.up = false;
-        node.backlog.clear();
+        let backlog = std::mem::take(&mut node.backlog);
         for (pool, host) in node.pools.iter_mut().zip(&mut self.hosts) {
             host.port.close_all(pool);
         }
+        for (_, event) in backlog {
+            if let NodeEvent::Receive(call) = event {
+                self.end_call(call, End::Broken);
+            }
+        }
         self.break_calls(at);
         self.update_list();
     }
@@ -269,7 +267,7 @@
         }
     }
 
-    pub(crate) fn stop_node(&mut self, at: usize) {
+    fn stop_node(&mut self, at: usize) {
         let now = self.now;
         if self.is_off(Mechanism::GracefulStop) {
             self.kill_node(at);
@@ -299,6 +297,9 @@
         let node = &mut self.nodes[at];
         let same = incarnation.is_none_or(|incarnation| incarnation == node.incarnation);
         if !node.up || !same {
+            if let NodeEvent::Receive(call) = event {
+                self.end_call(call, End::Broken);
+            }
             return;
         }
         if node.paused {
@@ -340,6 +341,7 @@
             NodeEvent::Write(attempt) => self.write(attempt),
             NodeEvent::End(attempt, ending) => self.end(attempt, *ending),
             NodeEvent::Repeat(run, reply) => self.drive_query(run, query::Event::Reply(*reply)),
+            NodeEvent::Stop => self.stop_node(at),
             NodeEvent::Probed(upstream, state, sent) => {
                 let now = self.now;
                 self.nodes[at].note_state(&upstream, state, sent, now);
@@ -347,7 +349,7 @@
         }
     }
 
-    fn again(&mut self, at: usize, after: Duration, event: NodeEvent) {
+    pub(crate) fn again(&mut self, at: usize, after: Duration, event: NodeEvent) {
         let incarnation = Some(self.nodes[at].incarnation);
         self.push(self.now + after, Event::Node(at, incarnation, event));
     }
@@ -356,177 +358,4 @@
         let client = Client::Node(at, self.nodes[at].incarnation);
         self.call_platform(client, request);
     }
-
-    fn tick(&mut self, at: usize) {
-        let now = self.now;
-        self.again(at, TICK, NodeEvent::Tick);
-        let news = !self.is_off(Mechanism::DrainNews);
-        let node = &mut self.nodes[at];
-        let outgoing = node.view.tick(now, &mut node.rng);
-        if node.epoch != node.view.epoch() {
-            node.epoch = node.view.epoch();
-            node.refresh_shares();
-        }
-        if news {
-            node.apply_drains(now);
-        }
-        let silent = if news {
-            node.silent_upstreams(now)
-        } else {
-            Vec::new()
-        };
-        outgoing
-            .into_iter()
-            .for_each(|beat| self.send_beat(at, beat));
-        self.pull(at);
-        silent.iter().for_each(|upstream| self.probe(at, upstream));
-        if self.nodes[at].is_closed(now) && !self.is_busy(at) {
-            self.nodes[at].exited = Some(now);
-            let text = format!("{}: the process has ended", self.nodes[at].id);
-            self.note(text);
-            self.kill_node(at);
-        }
-    }
-
-    fn send_beat(&mut self, at: usize, outgoing: Outgoing) {
-        if let Some(to) = self.find_node(&outgoing.to) {
-            self.send_peer(at, to, NodeEvent::Beat(at, Box::new(outgoing.beat)));
-        }
-    }
-
-    pub(crate) fn find_node(&self, id: &NodeId) -> Option<usize> {
-        self.nodes.iter().position(|node| node.id == *id)
-    }
-
-    fn receive_beat(&mut self, at: usize, from: usize, beat: &BeatMessage) {
-        let reply = self.nodes[at].view.receive(beat, self.now);
-        self.send_peer(at, from, NodeEvent::BeatReply(Box::new(reply)));
-    }
-
-    /// Fetches a revision that a peer has and this node lacks.
-    fn pull(&mut self, at: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[at];
-        let revision = node.conf.revision();
-        let newest = node.view.newest().filter(|newest| newest.0 > revision);
-        let Some(peer) = newest.map(|(_, peer)| peer.clone()) else {
-            return;
-        };
-        let waits = node.pulling.is_some_and(|since| now < since + PULL_TIMEOUT);
-        if waits || self.is_off(Mechanism::PeerConfig) {
-            return;
-        }
-        self.nodes[at].pulling = Some(now);
-        if let Some(peer) = self.find_node(&peer) {
-            self.send_peer(at, peer, NodeEvent::Pull(at, revision));
-        }
-    }
-
-    fn take_update(&mut self, at: usize, update: Update) {
-        let node = &mut self.nodes[at];
-        node.pulling = None;
-        let offered = node.conf.offer_update(update, self.now);
-        self.announce(at, offered == Offered::Changed);
-    }
-
-    fn probe(&mut self, at: usize, upstream: &UpstreamId) {
-        let Some(&server) = self.numbers.get(upstream) else {
-            return;
-        };
-        let host = &self.hosts[server];
-        let Some(way) = self.way(self.nodes[at].zone, host.zone) else {
-            return;
-        };
-        if host.model.accepts() {
-            let state = host.model.state(self.now + way);
-            let event = NodeEvent::Probed(upstream.clone(), state, self.now);
-            self.again(at, 2 * way, event);
-        }
-    }
-
-    /// Reads the index, and as a relay or without a configuration also the configuration.
-    fn watch(&mut self, at: usize) {
-        self.again(at, WATCH_PERIOD, NodeEvent::Watch);
-        self.ask_platform(at, Request::Index);
-        let node = &self.nodes[at];
-        let zone = &self.zones[node.zone];
-        if node.conf.catalogue().is_none() || node.view.relays(zone).contains(&&node.id) {
-            self.ask_platform(at, Request::Config);
-        }
-    }
-
-    fn stored(&mut self, at: usize, asked: Instant, request: Request, result: Result<Reply, Lost>) {
-        let now = self.now;
-        match (request, result) {
-            (Request::PutLedger(id, ..), result) => self.ledger_written(at, id, result),
-            (Request::Ledger(id), result) => self.ledger_read(at, id, result),
-            (_, Ok(Reply::Config(_, catalogue))) => self.take_catalogue(at, catalogue, asked),
-            (_, Ok(Reply::Index(index))) => {
-                let node = &mut self.nodes[at];
-                if node.index.as_ref() != Some(&index) {
-                    node.view.set_upstreams(&index.index, &index.upstreams, now);
-                    node.index = Some(index);
-                    node.refresh_shares();
-                }
-            }
-            (_, Ok(Reply::List(list))) => {
-                let node = &mut self.nodes[at];
-                node.view.set_list(&list, now);
-                node.refresh_shares();
-            }
-            (Request::Config, Err(_)) if self.nodes[at].conf.catalogue().is_none() => {
-                self.ask_seeds(at);
-            }
-            (_, Ok(_) | Err(_)) => {}
-        }
-    }
-
-    fn take_catalogue(&mut self, at: usize, catalogue: Arc<Catalogue>, asked: Instant) {
-        let revision = catalogue.revision;
-        let unordered = self.is_off(Mechanism::RevisionOrder);
-        let node = &mut self.nodes[at];
-        if unordered && revision < node.conf.revision() {
-            node.conf = InForce::new(self.now);
-        }
-        let changed = node.conf.offer(catalogue, self.now);
-        node.conf.confirm(revision, asked);
-        self.announce(at, changed);
-    }
-
-    /// Introduces a node without a configuration to all others, and asks for the highest revision that they have.
-    fn ask_seeds(&mut self, at: usize) {
-        let me = self.nodes[at].view.me().to_message();
-        for seed in (0..self.nodes.len()).filter(|&seed| seed != at) {
-            let beat = BeatMessage {
-                sender: Some(me.clone()),
-                ..BeatMessage::default()
-            };
-            self.send_peer(at, seed, NodeEvent::Beat(at, Box::new(beat)));
-            if !self.is_off(Mechanism::PeerConfig) {
-                self.send_peer(at, seed, NodeEvent::Pull(at, 0));
-            }
-        }
-    }
-
-    fn announce(&mut self, at: usize, changed: bool) {
-        if !changed {
-            return;
-        }
-        let now = self.now;
-        let node = &mut self.nodes[at];
-        let revision = node.conf.revision();
-        node.view.set_revision(revision, now);
-        let text = format!("{}: revision {revision} in force", node.id);
-        let reverted = (revision < node.peak).then(|| {
-            format!(
-                "{}: revision {revision} in force after revision {}",
-                node.id, node.peak
-            )
-        });
-        node.peak = node.peak.max(revision);
-        self.note(text);
-        if let Some(text) = reverted {
-            self.fail(text);
-        }
-    }
 }
--- a/crates/lab/src/scenario/step.rs
+++ b/crates/lab/src/scenario/step.rs
@@ -24,6 +24,7 @@
 use crate::scenario::file::Expectation;
 use crate::scenario::file::File;
 use crate::scenario::node::Node;
+use crate::scenario::node::NodeEvent;
 use crate::scenario::node::REGION;
 use crate::scenario::operator::read_changes;
 use crate::scenario::platform::Platform;
@@ -173,7 +174,9 @@
             Action::Publish(publish) => self.publish(number, &publish),
             Action::Kill(id) => self.with_node(&id, World::kill_node),
             Action::Start(id) => self.with_node(&id, World::start_node),
-            Action::Stop(id) => self.with_node(&id, World::stop_node),
+            Action::Stop(id) => self.with_node(&id, |world, at| {
+                world.push(world.now, Event::Node(at, None, NodeEvent::Stop));
+            }),
             Action::Pause(id) => self.with_node(&id, |world, at| world.nodes[at].paused = true),
             Action::Resume(id) => self.with_node(&id, World::resume_node),
             Action::Cut(places) => self.set_cut(&places, true),
