Check that switched-off mechanisms are what fails

Cause: a scenario that has to fail without its mechanism could fail for another reason and still count as proof.

Change: a test runs each of them with the mechanism on, where it has to pass. A key that no claim can have is an error of the file instead of a panic.

--- a/crates/lab/src/scenario/file.rs
+++ b/crates/lab/src/scenario/file.rs
@@ -17,6 +17,7 @@
 use base::UpstreamId;
 use base::ZoneName;
 use compact_str::CompactString;
+use once::ClaimKey;
 use query::MissingReason;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -408,7 +409,14 @@
             | Action::Stop(id)
             | Action::Pause(id)
             | Action::Resume(id) => nodes.contains(&id),
-            Action::Call(call) => call.to.as_ref().is_none_or(|id| nodes.contains(&id)),
+            Action::Call(call) => {
+                let key = call.key.as_ref();
+                let key = key.map(|key| ClaimKey::new(&call.service, key));
+                if let Some(Err(error)) = key {
+                    return Err(format!("step {}: {error}", number + 1));
+                }
+                call.to.as_ref().is_none_or(|id| nodes.contains(&id))
+            }
             Action::Straggle { server, .. }
             | Action::Slow { server, .. }
             | Action::Shed { server, .. }
--- a/crates/lab/tests/scenario.rs
+++ b/crates/lab/tests/scenario.rs
@@ -31,6 +31,20 @@
     assert!(passed, "{}", String::from_utf8_lossy(&out));
 }
 
+/// Guards against a scenario that fails for another reason than the mechanism that it switches off.
+#[rstest]
+fn test_scenario_passes_with_its_mechanism(
+    #[files("../../scenarios/g?-without-*.toml")] path: PathBuf,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let text = fs::read_to_string(path).unwrap();
+    let switch = |line: &&str| line.starts_with("without =") || line.starts_with("expect_failure");
+    assert_eq!(text.lines().filter(switch).count(), 2);
+    let kept: Vec<&str> = text.lines().filter(|line| !switch(line)).collect();
+    let report = run_text(&kept.join("\n"), seed).unwrap();
+    assert!(report.passed(), "{:?}", report.failures);
+}
+
 /// Guards against a misspelt key, name or number that silently removes a fault or an expectation.
 #[rstest]
 #[case::key_of_file("story =", "storry =", "storry")]
