--- a/crates/lab/src/bench/network.rs
+++ b/crates/lab/src/bench/network.rs
@@ -31,6 +31,13 @@
     open: u32,
 }
 
+impl Pool {
+    /// Tells whether a request has to wait, because every connection of the node's share is in use.
+    pub(crate) fn is_full(&self, share: Option<u32>) -> bool {
+        self.idle == 0 && share.is_some_and(|share| self.open >= share)
+    }
+}
+
 /// Counts the connections that a server has accepted.
 #[derive(Debug)]
 pub(crate) struct Port {
@@ -97,6 +104,12 @@
         self.open = self.open.saturating_sub(1);
     }
 
+    /// Closes every connection of one node, because its process ended.
+    pub(crate) fn close_all(&mut self, pool: &mut Pool) {
+        self.open = self.open.saturating_sub(pool.open);
+        *pool = Pool::default();
+    }
+
     /// Loses every connection, because the server stopped.
     pub(crate) fn reset<'a>(&mut self, pools: impl Iterator<Item = &'a mut Pool>) {
         self.open = 0;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 pub mod report;
 pub mod rig;
+pub mod scenario;
 pub mod server;
 pub mod settings;
 pub mod upstreams;
