entry: give bad input its own code, and refuse unusable keys

A body over the limit was answered with code 502 and status 400, because dropshot reports it as a bad request. An idempotency key that was empty, given twice or not ASCII was replaced by a generated key without a word, so that a retry of the caller would have run again. The readiness check answered "no configuration" also when an index or the list of VMs was lacking.

A body over the limit now has code 503 and status 413. An unusable key is refused with code 502 and a detail.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -16,6 +16,7 @@
 use dropshot::RequestContext;
 use dropshot::TypedBody;
 use dropshot::endpoint;
+use http::HeaderMap;
 use query::Answer;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -186,8 +187,11 @@
 
 impl From<HttpError> for FailureBody {
     fn from(error: HttpError) -> FailureBody {
+        // dropshot reports a body over the limit with status 400 and this text.
+        let oversize = error.external_message.contains("exceeded maximum size");
         let code = match error.status_code.as_u16() {
             413 => Code::BodyTooLarge,
+            _ if oversize => Code::BodyTooLarge,
             _ => Code::InvalidBody,
         };
         FailureBody::new(code, Some(error.external_message))
@@ -240,15 +244,10 @@
         timeout_ms,
         shard,
     } = body.into_inner();
-    let key = rqctx
-        .request
-        .headers()
-        .get(HEADER_KEY)
-        .and_then(|key| key.to_str().ok());
     let call = Call {
         service: service.into(),
         request: request.into(),
-        key: key.map(CompactString::from),
+        key: read_key(rqctx.request.headers())?,
         body,
         explain,
         timeout: timeout_ms.map(std::time::Duration::from_millis),
@@ -257,6 +256,26 @@
     serve_call(rqctx.context(), call).await.map(HttpResponseOk)
 }
 
+/// Reads the idempotency key; a key that cannot be used is refused, because a generated one would let a retry run again.
+fn read_key(headers: &HeaderMap) -> Result<Option<CompactString>, FailureBody> {
+    let invalid = |reason: &str| {
+        let detail = format!("header {HEADER_KEY}: {reason}");
+        Err(FailureBody::new(Code::InvalidBody, Some(detail)))
+    };
+    let mut keys = headers.get_all(HEADER_KEY).iter();
+    let Some(key) = keys.next() else {
+        return Ok(None);
+    };
+    if keys.next().is_some() {
+        return invalid("the header is given more than once");
+    }
+    match key.to_str() {
+        Ok("") => invalid("the key is empty"),
+        Ok(key) => Ok(Some(key.into())),
+        Err(_) => invalid("the key has characters other than visible ASCII"),
+    }
+}
+
 /// Tells whether the process runs.
 #[endpoint { method = GET, path = "/healthz" }]
 async fn get_healthz(
@@ -272,10 +291,27 @@
 ) -> Result<HttpResponseOk<Health>, FailureBody> {
     match rqctx.context().readiness() {
         Ok(()) => Ok(HttpResponseOk(Health { state: "ok".into() })),
-        Err(code) => Err(FailureBody::new(code, None)),
+        Err(code) => {
+            let lacking = (code == Code::NotReady).then(|| list_lacking(rqctx.context()));
+            Err(FailureBody::new(code, lacking))
+        }
     }
 }
 
+/// Names what a VM lacks before it is ready, so that an operator knows where to look.
+fn list_lacking(node: &Node) -> String {
+    let parts = [
+        (node.catalogue().is_some(), "a published configuration"),
+        (node.index_count() > 0, "an index from the platform"),
+        (node.knows_fleet(), "the list of VMs"),
+    ];
+    let lacking: Vec<&str> = parts
+        .into_iter()
+        .filter_map(|(present, part)| (!present).then_some(part))
+        .collect();
+    format!("still lacking: {}", lacking.join(", "))
+}
+
 /// Reports revisions, members, draining upstreams and budgets.
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(rqctx: RequestContext<Arc<Node>>) -> Result<HttpResponseOk<Status>, HttpError> {
