entry: bound the limits in settings and name the key in every error

A body_kib of 2^54 ended the process with an arithmetic overflow, and a notice_ms of any size was accepted, so a slip in the unit kept a VM from stopping. Errors that the TOML reader finds were reported for the key "file".

limits.body_kib is now at most 65536, limits.queries at most 100000 and shutdown.notice_ms at most 600000.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,6 +1,8 @@
 //! Settings of an entry VM, read from one TOML file and checked as a whole at start.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
@@ -15,14 +17,23 @@
 /// Largest request body accepted when the settings name no limit, in KiB.
 const DEFAULT_BODY_KIB: usize = 1024;
 
+/// Largest limit of a request body, in KiB; a body is held in memory, and a VM has little.
+const MAX_BODY_KIB: usize = 64 * 1024;
+
 /// Queries that run at the same time when the settings name no limit.
 const DEFAULT_QUERIES: usize = 512;
 
+/// Largest limit of queries; at a fan-out of 520 even a tenth of it exhausts a small VM.
+const MAX_QUERIES: usize = 100_000;
+
 /// Time between the start of a shutdown and the last accepted request when the settings name none.
 ///
 /// The balancer has to see the failing readiness check; most check every second.
 const DEFAULT_NOTICE: Duration = Duration::from_secs(3);
 
+/// Longest such time, in milliseconds; a slip in the unit would otherwise keep a VM from stopping.
+const MAX_NOTICE_MS: u64 = 600_000;
+
 /// An error in a settings file, with the place where it was found.
 #[derive(Debug, Clone, PartialEq, Snafu)]
 #[snafu(display("{file}:{line}: {key}: {reason} (code {})", Code::InvalidSettings.number()))]
@@ -93,7 +104,7 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawShutdown {
-    notice_ms: Option<u64>,
+    notice_ms: Option<Spanned<u64>>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -127,7 +138,8 @@
         Ok(raw) => raw,
         Err(error) => {
             let offset = error.span().map_or(0, |span| span.start);
-            check.report(offset, "file", error.message());
+            let key = find_key(text, offset, error.message());
+            check.report(offset, &key, error.message());
             return Err(check.errors);
         }
     };
@@ -147,8 +159,24 @@
         .statsd
         .as_ref()
         .and_then(|addr| check.parse_address("metrics.statsd", addr));
-    let body_kib = check.require_positive("limits.body_kib", raw.limits.body_kib, DEFAULT_BODY_KIB);
-    let query_limit = check.require_positive("limits.queries", raw.limits.queries, DEFAULT_QUERIES);
+    let body_kib = check.require_range(
+        "limits.body_kib",
+        raw.limits.body_kib,
+        DEFAULT_BODY_KIB,
+        1..=MAX_BODY_KIB,
+    );
+    let query_limit = check.require_range(
+        "limits.queries",
+        raw.limits.queries,
+        DEFAULT_QUERIES,
+        1..=MAX_QUERIES,
+    );
+    let notice_ms = check.require_range(
+        "shutdown.notice_ms",
+        raw.shutdown.notice_ms,
+        DEFAULT_NOTICE.as_millis() as u64,
+        0..=MAX_NOTICE_MS,
+    );
     if raw.listen.get_ref() == raw.peer.get_ref() && !raw.listen.get_ref().ends_with(":0") {
         check.report(raw.peer.span().start, "peer", "must differ from listen");
     }
@@ -167,10 +195,7 @@
         seeds,
         body_limit: body_kib * 1024,
         query_limit,
-        notice: raw
-            .shutdown
-            .notice_ms
-            .map_or(DEFAULT_NOTICE, Duration::from_millis),
+        notice: Duration::from_millis(notice_ms),
         statsd,
     })
 }
@@ -211,20 +236,46 @@
         parsed.ok()
     }
 
-    fn require_positive(
+    fn require_range<T: PartialOrd + Display>(
         &mut self,
         key: &str,
-        value: Option<Spanned<usize>>,
-        default: usize,
-    ) -> usize {
-        match value {
-            None => default,
-            Some(value) => {
-                if *value.get_ref() == 0 {
-                    self.report(value.span().start, key, "must be greater than 0");
-                }
-                value.into_inner()
-            }
+        value: Option<Spanned<T>>,
+        default: T,
+        allowed: RangeInclusive<T>,
+    ) -> T {
+        let Some(value) = value else {
+            return default;
+        };
+        if !allowed.contains(value.get_ref()) {
+            let reason = format!(
+                "{} is not from {} to {}",
+                value.get_ref(),
+                allowed.start(),
+                allowed.end()
+            );
+            self.report(value.span().start, key, &reason);
         }
+        value.into_inner()
+    }
+}
+
+/// Names the key that a message of the TOML reader is about, or `file` when the line holds no key.
+fn find_key(text: &str, offset: usize, message: &str) -> String {
+    let missing = message.strip_prefix("missing field `");
+    if let Some((key, _)) = missing.and_then(|rest| rest.split_once('`')) {
+        return key.into();
+    }
+    let start = text[..offset].rfind('\n').map_or(0, |at| at + 1);
+    let line = text[start..].lines().next().unwrap_or_default();
+    let Some((key, _)) = line.split_once('=') else {
+        return "file".into();
+    };
+    let headers = text[..start].lines().rev();
+    let table = headers
+        .filter_map(|line| line.trim().strip_prefix('[')?.split_once(']'))
+        .next();
+    match table {
+        Some((table, _)) => format!("{table}.{}", key.trim()),
+        None => key.trim().into(),
     }
 }
