entry: refuse shards outside the declaration, log ends without a record

A caller that named a shard reached it also when the declaration of its service does not cover it: agents-ticino, declared for the tag ticino, was served from every shard of plan-desk that was tried.

A request that runs at most once and ended with code 305, 402, 403 or 508 left no log line. It now leaves one with query, service, code and key; the line has no record, because the claim protocol keeps none.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -11,6 +11,7 @@
 use base::Revision;
 use base::ServiceName;
 use base::ShardId;
+use base::ShardMap;
 use compact_str::CompactString;
 use decl::Catalogue;
 use decl::Declaration;
@@ -60,6 +61,7 @@
         .catalogue()
         .ok_or_else(|| FailureBody::new(Code::NotReady, None))?;
     let declaration = find_declaration(&catalogue, &call)?;
+    check_shard(node, declaration, call.shard)?;
     let repeatable = declaration
         .request(&call.request)
         .is_some_and(|request| request.repeatable);
@@ -101,6 +103,16 @@
             code,
             started.elapsed(),
         );
+        // No sub-request was awaited to its end, so there is no record; the line lets the monitor find the key.
+        log::info!(
+            target: "answer",
+            query = format_query(id).as_str(),
+            service = declaration.service.as_str(),
+            class = class_word(declaration.class),
+            code = code.number(),
+            key = key.as_str();
+            "entry: request ended without a record"
+        );
     }
     make_claimed_body(end, id, key, catalogue.revision, call.explain)
 }
@@ -173,6 +185,28 @@
     Ok(declaration)
 }
 
+/// Refuses a shard that the declaration does not cover, so that a service reaches no shard of others.
+///
+/// Without a map there is nothing to compare with; the query then reports that nothing can be reached.
+fn check_shard(
+    node: &Node,
+    declaration: &Declaration,
+    shard: Option<ShardId>,
+) -> Result<(), FailureBody> {
+    let (Some(shard), Some(index)) = (shard, node.index(&declaration.index)) else {
+        return Ok(());
+    };
+    let covers = |map: &ShardMap| {
+        map.shard(shard)
+            .is_some_and(|shard| declaration.shards.contains(shard))
+    };
+    if index.maps.is_empty() || index.maps.iter().any(covers) {
+        return Ok(());
+    }
+    let detail = format!("shard {shard} is not one that the declaration covers");
+    Err(FailureBody::new(Code::InvalidBody, Some(detail)))
+}
+
 fn make_plan(
     node: &Node,
     catalogue: &Catalogue,
