limpetwick: read records from log lines, and fail when given no files

explain did not accept the log line of an entry VM, which is the form in which the monitor finds a record, and did not name a file that it could not read. check without files and publish of an empty directory reported success. Connection errors left out their cause.

explain reads log lines, check takes directories and fails without files, publish refuses an empty directory unless files are removed, and errors list their causes.

--- a/crates/limpetwick/src/check.rs
+++ b/crates/limpetwick/src/check.rs
@@ -17,8 +17,18 @@
 /// Exit code when a file is invalid or cannot be read; nothing was sent anywhere.
 pub const EXIT_INVALID: u8 = 2;
 
-/// Prints every error of all files and returns the exit code.
+/// Prints every error of all files and returns the exit code; a directory stands for its TOML files.
+///
+/// No files at all is an error, because a wrong pattern in a script would otherwise pass as a check.
 pub fn check_files(files: &[PathBuf], out: &mut impl Write) -> io::Result<u8> {
+    let files = match expand_directories(files) {
+        Ok(files) => files,
+        Err(fault) => return report_faults(&[fault], out),
+    };
+    if files.is_empty() {
+        writeln!(out, "check: no declaration files are given")?;
+        return Ok(EXIT_INVALID);
+    }
     let named: Vec<(String, &Path)> = files
         .iter()
         .map(|path| (path.display().to_string(), path.as_path()))
@@ -44,25 +54,44 @@
 
 /// Reads the TOML files of a directory; the catalogue names each by its file name.
 pub fn load_directory(dir: &Path) -> Result<Catalogue, Vec<Fault>> {
-    let unreadable =
-        |error: io::Error| vec![describe_unreadable(&dir.display().to_string(), &error)];
-    let mut named = Vec::new();
+    let files = list_directory(dir).map_err(|fault| vec![fault])?;
+    let named: Vec<(String, &Path)> = files
+        .iter()
+        .map(|path| {
+            let name = path.file_name().unwrap_or_default().to_string_lossy();
+            (name.into_owned(), path.as_path())
+        })
+        .collect();
+    load_files(&named)
+}
+
+fn expand_directories(files: &[PathBuf]) -> Result<Vec<PathBuf>, Fault> {
+    let mut expanded = Vec::new();
+    for path in files {
+        if path.is_dir() {
+            expanded.extend(list_directory(path)?);
+        } else {
+            expanded.push(path.clone());
+        }
+    }
+    Ok(expanded)
+}
+
+/// Lists the TOML files of a directory in the order of their names.
+fn list_directory(dir: &Path) -> Result<Vec<PathBuf>, Fault> {
+    let unreadable = |error: io::Error| describe_unreadable(&dir.display().to_string(), &error);
+    let mut files = Vec::new();
     for entry in std::fs::read_dir(dir).map_err(unreadable)? {
         let path = entry.map_err(unreadable)?.path();
         if path
             .extension()
             .is_some_and(|extension| extension == "toml")
         {
-            let name = path.file_name().unwrap_or_default().to_string_lossy();
-            named.push((name.into_owned(), path));
+            files.push(path);
         }
     }
-    named.sort_unstable();
-    let named: Vec<(String, &Path)> = named
-        .iter()
-        .map(|(name, path)| (name.clone(), path.as_path()))
-        .collect();
-    load_files(&named)
+    files.sort_unstable();
+    Ok(files)
 }
 
 /// Reads and merges files; conflicts between files are found among those that are valid by themselves.
--- a/crates/limpetwick/src/explain.rs
+++ b/crates/limpetwick/src/explain.rs
@@ -8,14 +8,20 @@
 use query::Explanation;
 use serde_json::Value;
 
-/// Exit code when no record is found.
+/// Exit code when the file cannot be read or holds no record.
 pub const EXIT_INVALID: u8 = 2;
 
 /// Prints the explanation record in a file; `-` means standard input.
 ///
-/// The file holds an answer with its record, a record alone, or a JSON log line with the record in `record`.
+/// The file holds an answer with its record, a record alone, or a log line of an entry VM with the record in `record`.
 pub fn explain_file(path: &Path, out: &mut impl Write) -> io::Result<u8> {
-    let text = read_text(path)?;
+    let text = match read_text(path) {
+        Ok(text) => text,
+        Err(error) => {
+            writeln!(out, "explain: {} cannot be read: {error}", path.display())?;
+            return Ok(EXIT_INVALID);
+        }
+    };
     match find_record(&text) {
         Some(record) => print_record(&record, out).map(|()| 0),
         None => {
@@ -39,7 +45,10 @@
 }
 
 fn find_record(text: &str) -> Option<Explanation> {
-    let value: Value = serde_json::from_str(text.trim()).ok()?;
+    let text = text.trim();
+    let Ok(value) = serde_json::from_str::<Value>(text) else {
+        return find_logged(text);
+    };
     let inner = value.get("explanation").cloned();
     let logged = value
         .get("record")
@@ -48,6 +57,15 @@
     serde_json::from_value(inner.or(logged).unwrap_or(value)).ok()
 }
 
+/// Finds the record in a text log line, where the keys after it, if any, are not part of the JSON.
+fn find_logged(line: &str) -> Option<Explanation> {
+    let (_, record) = line.split_once(" record=")?;
+    serde_json::Deserializer::from_str(record)
+        .into_iter()
+        .next()?
+        .ok()
+}
+
 fn print_record(record: &Explanation, out: &mut impl Write) -> io::Result<()> {
     let coverage = &record.coverage;
     writeln!(
--- a/crates/limpetwick/src/http.rs
+++ b/crates/limpetwick/src/http.rs
@@ -1,5 +1,6 @@
 //! Small HTTP calls of the command line.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -22,6 +23,17 @@
     reason: String,
 }
 
+/// Joins an error with its causes; the client's own message leaves out why a connection failed.
+fn list_causes(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    text
+}
+
 /// Reads a path of an HTTP server within a time.
 pub async fn get(addr: SocketAddr, path: &str, timeout: Duration) -> Result<Bytes, CallError> {
     let fail = |reason: String| CallError { addr, reason };
@@ -30,7 +42,7 @@
         .map_err(|error| fail(format!("{error}")))?;
     let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let call = async {
-        let response = client.get(uri).await.map_err(|error| error.to_string())?;
+        let response = client.get(uri).await.map_err(|error| list_causes(&error))?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
--- a/crates/limpetwick/src/publish.rs
+++ b/crates/limpetwick/src/publish.rs
@@ -8,7 +8,6 @@
 
 use base::Code;
 use base::Revision;
-use bytes::Bytes;
 use compact_str::CompactString;
 use conf::Action;
 use conf::Event;
@@ -18,11 +17,6 @@
 use decl::Changes;
 use decl::Declaration;
 use decl::collect_changes;
-use http_body_util::BodyExt;
-use http_body_util::Empty;
-use http_body_util::Limited;
-use hyper_util::client::legacy::Client as HttpClient;
-use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use store::Client;
 use store::ClientOptions;
@@ -30,8 +24,10 @@
 use store::StoreError;
 use tokio::time::Instant;
 
+use crate::check::EXIT_INVALID;
 use crate::check::load_directory;
 use crate::check::report_faults;
+use crate::http;
 
 /// Exit code when the files are in force on every VM, or a dry run found nothing to refuse.
 pub const EXIT_IN_FORCE: u8 = 0;
@@ -57,9 +53,6 @@
 /// Time after which a question to the entry VM is given up.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Largest status body that is read; it is a few kilobytes at 590 VMs.
-const MAX_STATUS_BYTES: usize = 4 << 20;
-
 /// What to publish, and how.
 #[derive(Debug, Clone)]
 pub struct PublishArgs {
@@ -125,6 +118,11 @@
         Ok(catalogue) => collect_changes(catalogue),
         Err(faults) => return report_faults(&faults, out),
     };
+    if changes.is_empty() && args.remove.is_empty() {
+        let dir = args.dir.display();
+        writeln!(out, "publish: {dir} holds no declaration files")?;
+        return Ok(EXIT_INVALID);
+    }
     for file in &args.remove {
         changes.entry(file.clone()).or_insert(None);
     }
@@ -341,7 +339,7 @@
             let reason = match status {
                 Ok(_) if zones.is_empty() => "the entry VM reports no zone".to_owned(),
                 Ok(_) => "some VMs have not taken it over".to_owned(),
-                Err(reason) => format!("the entry VM gave no status: {reason}"),
+                Err(reason) => reason.clone(),
             };
             writeln!(
                 out,
@@ -375,26 +373,7 @@
 
 /// Reads the zones of an entry VM's status; the error is a reason in plain words.
 async fn ask_zones(entry: SocketAddr) -> Result<ZonesStatus, String> {
-    let exchange = async {
-        let client = HttpClient::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
-        let uri = format!("http://{entry}/v1/status")
-            .parse()
-            .map_err(describe)?;
-        let response = client.get(uri).await.map_err(describe)?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_STATUS_BYTES);
-        let body = body.collect().await.map_err(describe)?.to_bytes();
-        if !status.is_success() {
-            return Err(format!("status {status}"));
-        }
-        serde_json::from_slice(&body).map_err(describe)
-    };
-    match tokio::time::timeout(POLL_TIMEOUT, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(format!("no reply within {} ms", POLL_TIMEOUT.as_millis())),
-    }
-}
-
-fn describe(error: impl ToString) -> String {
-    error.to_string()
+    let body = http::get(entry, "/v1/status", POLL_TIMEOUT).await;
+    let body = body.map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
--- a/crates/limpetwick/tests/publish.rs
+++ b/crates/limpetwick/tests/publish.rs
@@ -65,6 +65,36 @@
     assert_eq!(places.len(), starts.len(), "{text}");
 }
 
+/// Guards against a wrong path or pattern in a script that passes as a check of nothing.
+#[test]
+fn test_check_of_no_files_fails() {
+    let dir = write_files("check-none", &[("readme.md", "")]);
+    for files in [vec![], vec![dir]] {
+        let mut out = Vec::new();
+        assert_eq!(check_files(&files, &mut out).unwrap(), check::EXIT_INVALID);
+    }
+}
+
+/// Guards against a publish from a wrong directory that reports success.
+#[tokio::test]
+async fn test_publish_of_no_files_fails() {
+    let args = PublishArgs {
+        dir: write_files("publish-none", &[]),
+        remove: Vec::new(),
+        platform: LOOPBACK,
+        entry: None,
+        base: None,
+        dry_run: false,
+        wait: Duration::ZERO,
+        seed: 7,
+    };
+    let mut out = Vec::new();
+    let code = run_publish(args, &mut out).await.unwrap();
+    assert_eq!(code, check::EXIT_INVALID);
+    let text = String::from_utf8(out).unwrap();
+    assert!(text.contains("holds no declaration files"), "{text}");
+}
+
 /// Serves a fixed status body.
 async fn serve_status(body: &'static str) -> SocketAddr {
     let listener = tokio::net::TcpListener::bind(LOOPBACK).await.unwrap();
