--- a/crates/limpetwick/src/flags.rs
+++ b/crates/limpetwick/src/flags.rs
@@ -6,25 +6,43 @@
 use compact_str::CompactString;
 
 xflags::xflags! {
-    /// Query tier over many shards.
+    /// Query tier over many shards: one answer to a caller from many servers, with its true coverage.
+    ///
+    /// New here? Run `limpetwick demo`. Result codes in messages are explained in docs/codes.md.
+    ///
+    /// Exit codes: 0 done, 1 failed, 2 wrong flags, settings or declarations; publish adds 3 to 5.
     cmd limpetwick {
-        /// Runs an entry VM.
+        /// Prints this help.
         ///
-        /// Example: limpetwick serve --settings entry.toml
+        /// Example: limpetwick help
+        cmd help {}
+
+        /// Runs an entry VM until SIGTERM, then finishes the requests in progress and exits with 0.
+        ///
+        /// Set RUST_LOG=warn to leave out the line that is logged for each answer.
+        ///
+        /// Example: limpetwick serve --settings examples/entry.toml
         cmd serve {
-            /// Settings file.
+            /// Settings file; docs/settings.md lists its keys.
             required --settings path: PathBuf
         }
 
-        /// Checks declaration files without a platform.
+        /// Checks declarations without a platform and prints every error with file, line and key.
+        ///
+        /// Exit codes: 0 all are valid, 2 there are errors or no files.
         ///
-        /// Example: limpetwick check examples/skiasis/*.toml
+        /// Example: limpetwick check examples/skiasis
         cmd check {
-            /// Declaration files.
+            /// Declaration files, or directories with one TOML file per service.
             repeated files: PathBuf
         }
 
-        /// Puts the declarations of a directory into force.
+        /// Puts the declarations of a directory into force, and waits until every VM has them.
+        ///
+        /// Files that are published but absent from the directory stay in force.
+        ///
+        /// Exit codes: 0 in force everywhere, 2 invalid files, 3 accepted but not known to be in force everywhere,
+        /// 4 refused and nothing changed, 5 unknown (publish again to settle it).
         ///
         /// Example: limpetwick publish examples/skiasis --platform 127.0.0.1:9000 --entry 127.0.0.1:8080
         cmd publish {
@@ -32,11 +50,11 @@
             required dir: PathBuf
             /// Address of the platform's object API.
             required --platform addr: SocketAddr
-            /// Entry VM that is asked where the revision is in force.
+            /// Entry VM that is asked where the revision is in force; without it the exit code is 3 at best.
             optional --entry addr: SocketAddr
-            /// Published file to remove.
+            /// Published file to remove, by its name without the directory; may be repeated.
             repeated --remove file: CompactString
-            /// Revision that the files were based on; files changed since are refused.
+            /// Revision that the files were based on; a file that another publish changed since is refused.
             optional --base revision: u64
             /// Shows what would change, and publishes nothing.
             optional --dry-run
@@ -44,56 +62,71 @@
             optional --wait seconds: u64
         }
 
-        /// Shows revisions, members, draining upstreams and latencies.
+        /// Shows what an entry VM knows: revisions by zone, upstreams that drain or are suspected, answers by result
+        /// code, and latencies by service.
         ///
         /// Example: limpetwick status --entry 127.0.0.1:8080
         cmd status {
-            /// Entry VM to ask.
+            /// Entry VM to ask, by its address for callers.
             required --entry addr: SocketAddr
             /// Prints the JSON of the API.
             optional --json
         }
 
-        /// Decodes an explanation record.
+        /// Prints how an answer came about: snapshot, coverage, missing shards, attempts and time.
+        ///
+        /// Callers get the record with `"explain": true`; entry VMs log it for each answer.
         ///
-        /// Example: limpetwick explain answer.json
+        /// Example: grep 25c4daa37d0f9595ccab83b2ca34df5c entry.log | limpetwick explain -
         cmd explain {
-            /// File with an answer or an explanation record; standard input when it is `-`.
+            /// File with one answer, record or log line; standard input when it is `-`.
             required file: PathBuf
         }
 
         /// Prints the OpenAPI description of the API for callers and operators.
+        ///
+        /// Example: limpetwick openapi > docs/openapi.json
         cmd openapi {}
 
         /// Runs the whole path on embedded stand-ins and shows what answers say when things fail.
+        ///
+        /// It needs no settings and no network beyond loopback, and ends by itself.
+        ///
+        /// Example: limpetwick demo
         cmd demo {
             /// Prints one JSON object per answer.
             optional --json
         }
 
-        /// Stand-ins, load and experiments.
+        /// Stand-ins of the platform and the upstreams for trials, and the benchmark.
         cmd lab {
-            /// Serves the stand-in of the platform.
+            /// Serves the stand-in of the platform until SIGTERM; its objects are lost when it ends.
+            ///
+            /// Example: limpetwick lab platform --listen 127.0.0.1:9000
             cmd platform {
                 /// Address to serve on.
                 required --listen addr: SocketAddr
-                /// Age of the list of VMs, in milliseconds.
+                /// Age of the list of VMs, in milliseconds; 0 when absent.
                 optional --lag-ms millis: u64
             }
 
             /// Serves stand-ins of the upstreams of an example deployment, and registers its indexes with the platform.
+            ///
+            /// Example: limpetwick lab upstreams skiasis --platform 127.0.0.1:9000 --control 127.0.0.1:9001
             cmd upstreams {
                 /// Deployment: brunner-vaucher or skiasis.
                 required deployment: String
                 /// Address of the platform.
                 required --platform addr: SocketAddr
-                /// Address of the control port, which switches faults.
+                /// Address of the control port, which switches faults; a free loopback port when absent.
                 optional --control addr: SocketAddr
-                /// Seed of all random choices.
+                /// Seed of all random choices; 1 when absent.
                 optional --seed seed: u64
             }
 
             /// Registers an entry VM in the platform's list, as a real platform does by itself.
+            ///
+            /// Example: limpetwick lab vm --settings examples/entry.toml
             cmd vm {
                 /// Settings file of the entry VM.
                 required --settings path: PathBuf
@@ -102,8 +135,10 @@
             }
 
             /// Compares the full policy with plain baselines in virtual time.
+            ///
+            /// Example: limpetwick lab bench --quick
             cmd bench {
-                /// Seed of all random choices.
+                /// Seed of all random choices; 1 when absent.
                 optional --seed seed: u64
                 /// Runs fewer queries.
                 optional --quick
@@ -115,3 +150,10 @@
         }
     }
 }
+
+impl Limpetwick {
+    /// Returns the help of all commands, which the generated parser prints for `--help` only.
+    pub fn help_text() -> &'static str {
+        Self::HELP_
+    }
+}
--- a/crates/limpetwick/src/main.rs
+++ b/crates/limpetwick/src/main.rs
@@ -7,6 +7,7 @@
 mod flags;
 
 use std::io;
+use std::io::Write;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -64,6 +65,7 @@
 async fn run(flags: Limpetwick) -> ExitCode {
     let mut out = io::stdout().lock();
     match flags.subcommand {
+        LimpetwickCmd::Help(_) => report(write!(out, "{}", Limpetwick::help_text())),
         LimpetwickCmd::Serve(args) => serve(args).await,
         LimpetwickCmd::Check(args) => finish(check_files(&args.files, &mut out)),
         LimpetwickCmd::Publish(args) => finish(run_publish(publish_args(args), &mut out).await),
@@ -116,7 +118,7 @@
     })
 }
 
-fn print_openapi(out: &mut impl io::Write) -> ExitCode {
+fn print_openapi(out: &mut impl Write) -> ExitCode {
     match describe_api() {
         Ok(api) => {
             let version = env!("CARGO_PKG_VERSION")
@@ -162,8 +164,8 @@
     if let Err(error) = register_indexes(&store, &deployment).await {
         return fail(EXIT_FAILED, error);
     }
-    log::info!(
-        "lab: {} is registered, control is on {}",
+    println!(
+        "the upstream stand-ins of {} are registered, control is on {}",
         deployment.name,
         fleet.control()
     );
