limpetwick: read records from standard input, print an error once

explain documented `-` for standard input, but the parser of the flags takes it for a flag, so the form failed. During an outage publish printed the same line for each attempt; 17 were counted in 26 s.

explain reads standard input when no file is named, and publish prints an error when it changes. A test injects two failures and expects one line; it passes.

--- a/crates/limpetwick/src/explain.rs
+++ b/crates/limpetwick/src/explain.rs
@@ -1,7 +1,6 @@
 //! Decodes explanation records for people, such as the monitor.
 
 use std::io;
-use std::io::Read;
 use std::io::Write;
 use std::path::Path;
 
@@ -11,37 +10,32 @@
 /// Exit code when the file cannot be read or holds no record.
 pub const EXIT_INVALID: u8 = 2;
 
-/// Prints the explanation record in a file; `-` means standard input.
+/// Prints the explanation record in a file, or in standard input when no file is named.
 ///
 /// The file holds an answer with its record, a record alone, or a log line of an entry VM with the record in `record`.
-pub fn explain_file(path: &Path, out: &mut impl Write) -> io::Result<u8> {
+pub fn explain_file(path: Option<&Path>, out: &mut impl Write) -> io::Result<u8> {
+    let name = path.map_or("standard input".into(), |path| path.display().to_string());
     let text = match read_text(path) {
         Ok(text) => text,
         Err(error) => {
-            writeln!(out, "explain: {} cannot be read: {error}", path.display())?;
+            writeln!(out, "explain: {name} cannot be read: {error}")?;
             return Ok(EXIT_INVALID);
         }
     };
     match find_record(&text) {
         Some(record) => print_record(&record, out).map(|()| 0),
         None => {
-            writeln!(
-                out,
-                "explain: {} holds no explanation record",
-                path.display()
-            )?;
+            writeln!(out, "explain: {name} holds no explanation record")?;
             Ok(EXIT_INVALID)
         }
     }
 }
 
-fn read_text(path: &Path) -> io::Result<String> {
-    if path == Path::new("-") {
-        let mut text = String::new();
-        io::stdin().read_to_string(&mut text)?;
-        return Ok(text);
+fn read_text(path: Option<&Path>) -> io::Result<String> {
+    match path {
+        Some(path) => std::fs::read_to_string(path),
+        None => io::read_to_string(io::stdin()),
     }
-    std::fs::read_to_string(path)
 }
 
 fn find_record(text: &str) -> Option<Explanation> {
--- a/crates/limpetwick/src/flags.rs
+++ b/crates/limpetwick/src/flags.rs
@@ -77,10 +77,10 @@
         ///
         /// Callers get the record with `"explain": true`; entry VMs log it for each answer.
         ///
-        /// Example: grep 25c4daa37d0f9595ccab83b2ca34df5c entry.log | limpetwick explain -
+        /// Example: grep 25c4daa37d0f9595ccab83b2ca34df5c entry.log | limpetwick explain
         cmd explain {
-            /// File with one answer, record or log line; standard input when it is `-`.
-            required file: PathBuf
+            /// File with one answer, record or log line; standard input when absent.
+            optional file: PathBuf
         }
 
         /// Prints the OpenAPI description of the API for callers and operators.
--- a/crates/limpetwick/src/main.rs
+++ b/crates/limpetwick/src/main.rs
@@ -70,7 +70,7 @@
         LimpetwickCmd::Check(args) => finish(check_files(&args.files, &mut out)),
         LimpetwickCmd::Publish(args) => finish(run_publish(publish_args(args), &mut out).await),
         LimpetwickCmd::Status(args) => finish(show_status(args.entry, args.json, &mut out).await),
-        LimpetwickCmd::Explain(args) => finish(explain_file(&args.file, &mut out)),
+        LimpetwickCmd::Explain(args) => finish(explain_file(args.file.as_deref(), &mut out)),
         LimpetwickCmd::Openapi(_) => print_openapi(&mut out),
         LimpetwickCmd::Demo(args) => report(lab::demo::run_demo(args.json).await),
         LimpetwickCmd::Lab(lab) => match lab.subcommand {
--- a/crates/limpetwick/src/publish.rs
+++ b/crates/limpetwick/src/publish.rs
@@ -155,6 +155,7 @@
 ) -> io::Result<Published> {
     let mut action = machine.handle(Event::Start);
     let mut pause = MIN_PAUSE;
+    let mut shown = String::new();
     loop {
         if let Action::Finish(published) = action {
             return Ok(published);
@@ -165,7 +166,12 @@
             Err(_) => (Event::GiveUp, None),
         };
         if let Some(error) = &error {
-            writeln!(out, "publish: {error} (code {})", error.code().number())?;
+            // An outage gives the same error at every attempt; one line is enough for the operator.
+            let line = format!("publish: {error} (code {})", error.code().number());
+            if line != shown {
+                writeln!(out, "{line}")?;
+                shown = line;
+            }
         }
         pause = error.map_or(MIN_PAUSE, |error| error.retry_after().max(MIN_PAUSE));
         action = machine.handle(event);
--- a/crates/limpetwick/tests/explain.rs
+++ b/crates/limpetwick/tests/explain.rs
@@ -16,7 +16,7 @@
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, text).unwrap();
     let mut out = Vec::new();
-    let code = explain_file(&path, &mut out).unwrap();
+    let code = explain_file(Some(&path), &mut out).unwrap();
     (code, String::from_utf8(out).unwrap())
 }
 
@@ -49,7 +49,7 @@
         Some(text) => explain(name, text),
         None => {
             let mut out = Vec::new();
-            let code = explain_file(name.as_ref(), &mut out).unwrap();
+            let code = explain_file(Some(name.as_ref()), &mut out).unwrap();
             (code, String::from_utf8(out).unwrap())
         }
     };
--- a/crates/limpetwick/tests/publish.rs
+++ b/crates/limpetwick/tests/publish.rs
@@ -75,6 +75,33 @@
     }
 }
 
+/// Guards against one line of output for every attempt during an outage.
+#[tokio::test]
+async fn test_publish_prints_a_repeated_error_once() {
+    let platform = serve_platform(LOOPBACK, Duration::ZERO).await.unwrap();
+    platform.set_fault(Fault {
+        mode: FaultMode::Down,
+        times: Some(2),
+        delay_ms: 0,
+    });
+    let args = PublishArgs {
+        dir: write_files("outage", &[("a.toml", &declare("a", "1s"))]),
+        remove: Vec::new(),
+        platform: platform.addr(),
+        entry: None,
+        base: None,
+        dry_run: false,
+        wait: Duration::ZERO,
+        seed: 7,
+    };
+    let mut out = Vec::new();
+    run_publish(args, &mut out).await.unwrap();
+    let text = String::from_utf8(out).unwrap();
+    assert_eq!(text.matches("status 503").count(), 1, "{text}");
+    assert!(text.contains("revision 1 accepted"), "{text}");
+    platform.close().await.unwrap();
+}
+
 /// Guards against a publish from a wrong directory that reports success.
 #[tokio::test]
 async fn test_publish_of_no_files_fails() {
