--- a/crates/entry/src/claimed.rs
+++ b/crates/entry/src/claimed.rs
@@ -375,9 +375,11 @@
         }
         _ => {
             log::warn!(
-                "upstream: the reply to run {} is not valid: status {}",
+                "upstream: reply of {} to run {} is not valid: status {} (code {})",
+                attempt.upstream,
                 attempt.id,
-                reply.status
+                reply.status,
+                base::Code::InvalidReply.number()
             );
             Event::Failed(attempt.id, Failure::Lost)
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,6 +7,7 @@
 
 use base::AttemptId;
 use base::CancelRequest;
+use base::Code;
 use base::QueryReply;
 use base::QueryRequest;
 use base::RejectReply;
@@ -153,7 +154,7 @@
             if let Some(state) = reply.state {
                 node.note_state(&attempt.upstream, state, sent);
             }
-            read_event(id, &reply)
+            read_event(&attempt, &reply)
         }
         Err(error) => {
             node.note_error(&attempt.upstream, error);
@@ -164,12 +165,17 @@
 }
 
 /// Turns a reply into an event; a reply that is not valid may come from a run, so it counts as lost.
-pub fn read_event(attempt: u64, reply: &Reply) -> Event {
+fn read_event(sent: &Attempt, reply: &Reply) -> Event {
+    let attempt = sent.id;
     if reply.status == StatusCode::OK {
         return match serde_json::from_slice::<QueryReply>(&reply.body) {
             Ok(message) => Event::Reply(message),
             Err(error) => {
-                log::warn!("upstream: reply to attempt {attempt} is not valid: {error}");
+                let code = Code::InvalidReply.number();
+                let upstream = &sent.upstream;
+                log::warn!(
+                    "upstream: reply of {upstream} to attempt {attempt} is not valid: {error} (code {code})"
+                );
                 Event::Failed(attempt, Failure::Lost)
             }
         };
