limit: weigh a farther replica by its round trip

The choice preferred the own zone by a factor of 3 of the expected time, and each zone has one replica of a shard. A query with 30 shards thus sent three sub-requests at once to each of the ten servers of its zone, and queued there while the servers of the other zones were idle. A replica in another zone is now charged the round trip only: 2 ms in the region, 24 ms beyond it.

--- a/crates/limit/src/pick.rs
+++ b/crates/limit/src/pick.rs
@@ -9,17 +9,18 @@
 use crate::GateKey;
 use crate::Limits;
 
-/// How many times longer a near replica must be expected to take before a farther one is chosen.
-const FARTHER: f32 = 3.0;
+/// Added to the expected time of a replica in another zone of the region, in microseconds: a round trip.
+const REGION_US: f32 = 2_000.0;
 
-/// Added to the expected time of a farther replica, in microseconds: a round trip between zones, with margin.
-const FARTHER_US: f32 = 2_500.0;
+/// Added to the expected time of a replica in another region, in microseconds: a round trip.
+const FAR_US: f32 = 24_000.0;
 
 impl Limits {
     /// Chooses the replica for one attempt among `candidates`.
     ///
-    /// Of two random candidates in the nearest zone, the one with the smaller expected reply time is taken. A farther
-    /// zone is used only when the nearer ones have no replica that may be sent to, or a far slower one.
+    /// In the nearest zone, the one of two random candidates with the smaller expected reply time is taken. A replica
+    /// in a farther zone is chosen when its expected time is smaller even with the round trip added: a queue in the own
+    /// zone costs more than the way to another one.
     ///
     /// # Errors
     ///
@@ -47,8 +48,17 @@
     }
 
     fn is_worth(&self, near: GateKey, far: GateKey, now: Instant) -> bool {
-        self.tuning.compare
-            && self.expected_us(near, now) > self.expected_us(far, now) * FARTHER + FARTHER_US
+        self.tuning.compare && self.distant_us(far, now) < self.distant_us(near, now)
+    }
+
+    /// Estimates the time of one more attempt with the way to its zone, which no reply has shown yet on an idle gate.
+    fn distant_us(&self, key: GateKey, now: Instant) -> f32 {
+        let way = match self.gates[key].distance {
+            Distance::Zone => 0.0,
+            Distance::Region => REGION_US,
+            Distance::Far => FAR_US,
+        };
+        self.expected_us(key, now) + way
     }
 
     fn pick_within(
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -302,6 +302,8 @@
 /// Guards against traffic between zones that is not needed, and against missing shards that another zone can serve.
 #[rstest]
 #[case::own_zone(true, false, 10, [true, false, false])]
+#[case::own_zone_within_round_trip(true, false, 11, [true, false, false])]
+#[case::own_zone_slower(true, false, 15, [false, true, false])]
 #[case::own_zone_full(true, true, 10, [false, true, false])]
 #[case::own_zone_far_slower(true, false, 100, [false, true, false])]
 #[case::switched_off(false, false, 10, [true, true, true])]
