limit, query: plan hedges by the tokens left and share a reserve

The delay now follows the tokens: few are left for replies that are hardly late when tokens are short, and more are spent when they are saved up. A service keeps ten hedge tokens; the rest goes to a reserve of the node, so that all hedges stay within the sum of the declared budgets.

--- a/crates/lab/src/bench/node.rs
+++ b/crates/lab/src/bench/node.rs
@@ -313,8 +313,7 @@
         let elapsed = now.saturating_duration_since(running.started);
         let latency = now.saturating_duration_since(running.call.asked) + CALLER_DELAY;
         if running.call.recorded {
-            let budget = self.nodes[at].limits.budget(&plan.service);
-            let starved = budget.hedges() < 1.0;
+            let starved = self.nodes[at].limits.hedges(&plan.service) < 1.0;
             self.tally
                 .answer(running.call.service, answer, latency, starved);
         }
--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -8,6 +8,54 @@
 /// Tokens of each kind that a service starts with, so that a new node can replace a lost reply before any completed.
 const FIRST_TOKENS: f64 = 5.0;
 
+/// Hedge tokens that a service keeps for itself while the services of a node share a reserve.
+///
+/// A query over 30 shards seldom has more than five late ones, so that two queries find tokens at the same moment.
+const OWN_TOKENS: f64 = 10.0;
+
+/// Most tokens in the reserve: the most that three services could save up by themselves.
+const MAX_RESERVE: f64 = 150.0;
+
+/// Part of the declared fraction that a service plans to spend when it has no token of its own, and with all of them.
+///
+/// The rest goes to the reserve. The lower bound leaves tokens for replies that are far slower than the others.
+const OWN_SPEND: (f64, f64) = (0.2, 0.7);
+
+/// Fraction of the sub-requests that every service plans to hedge from a full reserve.
+const RESERVE_SPEND: f64 = 0.05;
+
+/// Hedge tokens that the services of a node could not keep, for whichever of them has late replies.
+///
+/// With many services on a node, each earns few tokens, and one has none left while the others have more than enough.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Reserve {
+    tokens: f64,
+}
+
+impl Reserve {
+    /// Takes over what a service may not keep.
+    pub(crate) fn collect(&mut self, budget: &mut Budget) {
+        let surplus = (budget.hedges - OWN_TOKENS).max(0.0);
+        budget.hedges -= surplus;
+        self.tokens = (self.tokens + surplus).min(MAX_RESERVE);
+    }
+
+    pub(crate) fn take(&mut self) -> bool {
+        take_token(&mut self.tokens)
+    }
+
+    pub(crate) fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
+    /// Returns the fraction of its sub-requests that a service should plan to hedge.
+    pub(crate) fn plan(&self, budget: &Budget, declared: f64) -> f64 {
+        let own = (budget.hedges / OWN_TOKENS).min(1.0);
+        let spend = OWN_SPEND.0 + (OWN_SPEND.1 - OWN_SPEND.0) * own;
+        declared * spend + RESERVE_SPEND * self.tokens / MAX_RESERVE
+    }
+}
+
 /// Tokens that bound the extra load of one service.
 ///
 /// Only primaries that complete earn tokens. When everything is slow nothing is earned, so hedging and retrying stop
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -24,6 +24,7 @@
 use crate::Ending;
 use crate::Gate;
 use crate::Tuning;
+use crate::budget::Reserve;
 
 /// Part of a server's connections that no share uses, in percent.
 ///
@@ -70,6 +71,7 @@
     pub(crate) gates: SlotMap<GateKey, Gate>,
     keys: HashMap<UpstreamId, GateKey>,
     budgets: BTreeMap<ServiceName, Budget>,
+    reserve: Reserve,
     freed: VecDeque<GateKey>,
 }
 
@@ -83,6 +85,7 @@
             gates: SlotMap::with_key(),
             keys: HashMap::new(),
             budgets: BTreeMap::new(),
+            reserve: Reserve::default(),
             freed: VecDeque::new(),
         }
     }
@@ -255,14 +258,31 @@
         self.budgets.get(service).copied().unwrap_or_default()
     }
 
+    /// Returns the hedge tokens that a service finds: its own and those of the reserve.
+    pub fn hedges(&self, service: &ServiceName) -> f64 {
+        self.budget(service).hedges() + self.reserve.tokens()
+    }
+
+    /// Returns the fraction of its sub-requests that a service should plan to hedge with the tokens left now.
+    ///
+    /// `declared` is the fraction that earns tokens. The plan is above it while tokens are saved up and below it while
+    /// they are short, so that replies that are hardly late don't take the tokens for stragglers.
+    pub fn plan_hedges(&self, service: &ServiceName, declared: f64) -> f64 {
+        self.reserve.plan(&self.budget(service), declared)
+    }
+
     /// Credits the budget of a service for one primary that completed.
     pub fn earn(&mut self, service: &ServiceName, hedge_rate: f64, retry_rate: f64) {
-        self.budget_mut(service).earn(hedge_rate, retry_rate);
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.earn(hedge_rate, retry_rate);
+        if self.tuning.reserve {
+            self.reserve.collect(budget);
+        }
     }
 
-    /// Takes the token for one hedge of a service, if there is one.
+    /// Takes the token for one hedge of a service, if it or the reserve has one.
     pub fn take_hedge(&mut self, service: &ServiceName) -> bool {
-        !self.tuning.budget || self.budget_mut(service).take_hedge()
+        !self.tuning.budget || self.budget_mut(service).take_hedge() || self.reserve.take()
     }
 
     /// Takes the token for one retry of a service, if there is one.
--- a/crates/limit/src/tuning.rs
+++ b/crates/limit/src/tuning.rs
@@ -19,6 +19,8 @@
     pub zones: bool,
     /// Charge hedges and retries to the budget of the service.
     pub budget: bool,
+    /// Share hedge tokens that a service can't keep among the services of the node.
+    pub reserve: bool,
 }
 
 impl Tuning {
@@ -32,6 +34,7 @@
         compare: false,
         zones: false,
         budget: false,
+        reserve: false,
     };
 }
 
@@ -46,6 +49,7 @@
             compare: true,
             zones: true,
             budget: true,
+            reserve: true,
         }
     }
 }
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -373,3 +373,19 @@
     let picked = limits.pick(&keys, now, &mut Pcg64Mcg::new(7));
     assert_eq!(picked, Err(Blocked::Limit));
 }
+
+/// Guards against a service without a hedge token while the others of the node can't use theirs, and against one that
+/// takes the tokens that another keeps for itself.
+#[rstest]
+#[case::shared(true, (true, 10))]
+#[case::switched_off(false, (false, 50))]
+fn spare_hedge_tokens_are_shared(#[case] reserve: bool, #[case] expected: (bool, u32)) {
+    let (mut limits, _, _) = create_limits(|tuning| tuning.reserve = reserve, &[]);
+    let [idle, busy] = ["idle", "busy"].map(Into::into);
+    (0..1_000).for_each(|_| limits.earn(&idle, 0.1, 0.0));
+    let before = limits.plan_hedges(&busy, 0.03);
+    let taken = std::iter::from_fn(|| limits.take_hedge(&busy).then_some(())).count();
+    let left = std::iter::from_fn(|| limits.take_hedge(&idle).then_some(())).count();
+    assert_eq!((taken > 5, left as u32), expected);
+    assert!(limits.plan_hedges(&busy, 0.03) < before);
+}
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -185,8 +185,7 @@
             snapshot,
             deadline: self.plan.deadline,
         }));
-        let due = now + state.hedge_delay;
-        let hedge = !state.hedged && self.may_hedge();
+        let hedge = !state.hedged;
         self.attempts.insert(
             id,
             Sent {
@@ -197,7 +196,8 @@
                 permit: Some(permit),
             },
         );
-        if hedge {
+        if hedge && self.may_hedge() {
+            let due = now + self.hedge_after(shard, env.limits);
             self.set_timer(shard, due);
         }
     }
@@ -218,13 +218,18 @@
         env: &mut Env<'_>,
         actions: &mut Vec<Action>,
     ) {
+        let after = self.hedge_after(shard, env.limits);
         let (Some(snapshot), Some(state)) = (self.snapshot, self.shards.get_mut(&shard)) else {
             return;
         };
         if state.hedged || !state.is_open() {
             return;
         }
-        let delay = state.hedge_delay;
+        let due = state.last_sent + after;
+        if now < due {
+            self.set_timer(shard, due);
+            return;
+        }
         let candidates = state.untried(snapshot.version, env.limits, now);
         if let Ok(key) = env.limits.pick(&candidates, now, env.rng)
             && env.limits.take_hedge(&self.plan.service)
@@ -233,8 +238,23 @@
             state.hedged = true;
             self.dispatch(shard, Kind::Hedge, permit, now, env, actions);
         } else {
-            self.set_timer(shard, now + delay);
+            self.set_timer(shard, now + RECHECK);
+        }
+    }
+
+    /// Returns how long a shard waits for a reply before it is hedged, as far as the tokens left allow now.
+    ///
+    /// The quantile is noisy and queues make more replies late than it says. With a delay that doesn't follow the
+    /// tokens, replies that are hardly late use them up, and stragglers find none.
+    fn hedge_after(&self, shard: ShardId, limits: &Limits) -> Duration {
+        let Some(state) = self.shards.get(&shard) else {
+            return Duration::ZERO;
+        };
+        if self.plan.tuning.hedging != Hedging::Budget {
+            return state.hedge_delay;
         }
+        let planned = limits.plan_hedges(&self.plan.service, self.plan.policy.hedge_budget);
+        state.find_delay(1.0 - planned, limits)
     }
 
     /// Replaces a failed attempt within the budget, or gives the shard up when nothing else is outstanding.
--- a/crates/query/src/shard.rs
+++ b/crates/query/src/shard.rs
@@ -52,6 +52,7 @@
     pub(crate) postponed: bool,
     pub(crate) bound_at: Instant,
     pub(crate) first_sent: Option<Instant>,
+    pub(crate) last_sent: Instant,
     pub(crate) hedge_delay: Duration,
     pub(crate) timer: Option<Instant>,
     /// Kind of the next attempt while none is outstanding.
@@ -75,6 +76,7 @@
             postponed: false,
             bound_at: now,
             first_sent: None,
+            last_sent: now,
             hedge_delay: FIRST_DELAY,
             timer: None,
             next: Kind::Primary,
@@ -102,6 +104,7 @@
         self.live.push(id);
         self.tried.push(key);
         self.first_sent.get_or_insert(now);
+        self.last_sent = now;
     }
 
     /// Bars a replica that rejected the bound snapshot, even if it claims to hold the version.
@@ -164,16 +167,21 @@
         }
     }
 
-    /// Sets the hedge delay to the smallest quantile among the replicas.
+    /// Returns the smallest quantile among the replicas.
     ///
     /// An upstream that is slow throughout has a large quantile of its own, by which a hedge would come too late.
-    pub(crate) fn set_delay(&mut self, quantile: f64, limits: &Limits) {
+    pub(crate) fn find_delay(&self, quantile: f64, limits: &Limits) -> Duration {
         let known = self
             .replicas
             .iter()
             .filter_map(|&key| limits.quantile(key, quantile))
             .min();
-        self.hedge_delay = known.unwrap_or(FIRST_DELAY).max(MIN_DELAY);
+        known.unwrap_or(FIRST_DELAY).max(MIN_DELAY)
+    }
+
+    /// Sets the hedge delay as [`ShardState::find_delay`] gives it.
+    pub(crate) fn set_delay(&mut self, quantile: f64, limits: &Limits) {
+        self.hedge_delay = self.find_delay(quantile, limits);
     }
 
     /// Sets a hedge delay that does not depend on reply times.
--- a/crates/query/tests/rules.rs
+++ b/crates/query/tests/rules.rs
@@ -55,18 +55,23 @@
     }
 }
 
-/// Guards against hedges of replies that are hardly late, whose tokens are then missing for stragglers, and against
-/// hedges and retries that a service has not declared. One in 40 replies is slow.
+/// Guards against hedges of replies that are hardly late, whose tokens are then missing for stragglers, against tokens
+/// that are saved up and not used, and against hedges and retries that a service has not declared. One in 40 replies is
+/// slow.
 #[rstest]
-#[case::small(0.03, 0)]
-#[case::large(0.2, 1)]
-#[case::none(0.0, 0)]
-fn hedge_delay_follows_budget(#[case] budget: f64, #[case] expected: usize) {
+#[case::small(0.03, 0, 0)]
+#[case::saved(0.03, 10_000, 1)]
+#[case::large(0.2, 0, 1)]
+#[case::none(0.0, 10_000, 0)]
+fn hedge_delay_follows_budget(#[case] budget: f64, #[case] saved: u32, #[case] expected: usize) {
     let mut node = Node::simple(1, 2);
     for upstream in ["0-0", "0-1"] {
         node.prepare(upstream, 39, Ending::Replied, ms(5));
         node.prepare(upstream, 1, Ending::Replied, ms(40));
     }
+    for _ in 0..saved {
+        node.limits.earn(&"advisers".into(), 0.03, 0.0);
+    }
     let mut run = node.run(|plan| {
         plan.policy.hedge_budget = budget;
         plan.policy.retry_budget = 0.0;
