limit, query: treat prolonged silence as evidence of a failure

An attempt on an established connection into a partitioned zone gets neither a reply nor a failure. The gate never paused, and the query waited for its deadline. An abandoned attempt now counts as silent when it took longer than the 95th percentile of the upstream's reply time and nothing at all came back from the upstream meanwhile; three in a row pause it as failures do. A repeatable request whose attempts are silent for three times that percentile is retried within the retry budget. An overloaded upstream keeps replying to others, so that it is not taken for silent.

--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -19,6 +19,18 @@
 /// Consecutive failures after which an upstream is paused.
 const FAILURES: u8 = 3;
 
+/// Attempts in a row that get nothing back after which an upstream is paused.
+const SILENCES: u8 = 3;
+
+/// Quantile of the reply time beyond which an abandoned attempt counts as one that got nothing back.
+const SILENT_QUANTILE: f64 = 0.95;
+
+/// Multiple of that quantile after which an attempt that is still awaited counts as silent.
+const SILENT_FACTOR: u32 = 3;
+
+/// Time without a reply that counts as silence while few reply times are known.
+const FIRST_SILENCE: Duration = Duration::from_millis(100);
+
 /// First pause after consecutive failures; each further failure doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 
@@ -96,6 +108,7 @@
     ramp_start: Option<Instant>,
     drained: Option<Instant>,
     failures: u8,
+    silences: u8,
     paused: Option<Instant>,
     trial: bool,
     held: Option<Box<[IndexVersion]>>,
@@ -121,6 +134,7 @@
             ramp_start: None,
             drained: None,
             failures: 0,
+            silences: 0,
             paused: None,
             trial: false,
             held: None,
@@ -268,13 +282,19 @@
         trial
     }
 
-    pub(crate) fn leave(&mut self, ending: Ending, sent: Instant, trial: bool, now: Instant) {
+    pub(crate) fn leave(
+        &mut self,
+        ending: Ending,
+        (sent, trial): (Instant, bool),
+        tuning: &Tuning,
+        now: Instant,
+    ) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if trial {
             self.trial = false;
         }
         if matches!(ending, Ending::Replied | Ending::Shed | Ending::Rejected) {
-            self.heard = Some(now);
+            self.note_heard(now);
         }
         let time = now.saturating_duration_since(sent);
         match ending {
@@ -291,7 +311,12 @@
             Ending::Rejected => self.recover(),
             Ending::Refused => self.cut_share(now),
             Ending::Failed => self.count_failure(now),
-            Ending::Cancelled => self.note_lower_bound(time, now),
+            Ending::Cancelled => {
+                if tuning.silence {
+                    self.note_silence(sent, time, now);
+                }
+                self.note_lower_bound(time, now);
+            }
         }
     }
 
@@ -299,7 +324,7 @@
     ///
     /// A reply sent before the drain was seen may arrive after it and say `live`; it does not end the drain.
     pub(crate) fn note_state(&mut self, state: UpstreamState, sent: Instant, now: Instant) {
-        self.heard = Some(now);
+        self.note_heard(now);
         match state {
             UpstreamState::Draining => {
                 self.drained.get_or_insert(now);
@@ -357,6 +382,43 @@
         }
     }
 
+    fn note_heard(&mut self, now: Instant) {
+        self.heard = Some(now);
+        self.silences = 0;
+    }
+
+    /// Tells whether an attempt is awaited far longer than replies take, and nothing else came back since it was sent.
+    pub(crate) fn is_silent(&self, sent: Instant, now: Instant) -> bool {
+        now >= sent + self.silent_after() && self.is_unheard(sent)
+    }
+
+    pub(crate) fn silent_after(&self) -> Duration {
+        self.quantile(SILENT_QUANTILE)
+            .map_or(FIRST_SILENCE, |time| SILENT_FACTOR * time)
+    }
+
+    fn is_unheard(&self, sent: Instant) -> bool {
+        self.heard.is_none_or(|heard| heard < sent)
+    }
+
+    /// Counts an abandoned attempt during which the upstream gave no sign of life.
+    ///
+    /// A connection into a partitioned zone neither replies nor fails. An overloaded upstream keeps replying to other
+    /// attempts meanwhile, so that it is never taken for one.
+    fn note_silence(&mut self, sent: Instant, time: Duration, now: Instant) {
+        let late = self
+            .quantile(SILENT_QUANTILE)
+            .is_some_and(|usual| time >= usual);
+        if !late || !self.is_unheard(sent) {
+            return;
+        }
+        self.silences = self.silences.saturating_add(1);
+        if self.silences >= SILENCES {
+            self.failures = self.failures.max(FAILURES - 1);
+            self.count_failure(now);
+        }
+    }
+
     fn recover(&mut self) {
         self.failures = 0;
         self.paused = None;
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -193,7 +193,7 @@
     /// Gives a permit back and learns from how the attempt ended.
     pub fn release(&mut self, permit: Permit, ending: Ending, now: Instant) {
         if let Some(gate) = self.gates.get_mut(permit.key) {
-            gate.leave(ending, permit.sent, permit.trial, now);
+            gate.leave(ending, (permit.sent, permit.trial), &self.tuning, now);
             if gate.has_waiters() {
                 self.freed.push_back(permit.key);
             }
@@ -248,6 +248,17 @@
         Some(held.contains(&version))
     }
 
+    /// Tells whether an attempt sent at `sent` is awaited far longer than replies take, with no sign of life since.
+    pub fn is_silent(&self, key: GateKey, sent: Instant, now: Instant) -> bool {
+        self.tuning.silence && self.gate(key).is_some_and(|gate| gate.is_silent(sent, now))
+    }
+
+    /// Returns the time without a sign of life from which [`Limits::is_silent`] holds, or `None` if it never does.
+    pub fn silent_after(&self, key: GateKey) -> Option<Duration> {
+        let gate = self.gate(key).filter(|_| self.tuning.silence)?;
+        Some(gate.silent_after())
+    }
+
     /// Returns a quantile of an upstream's reply time, or `None` with too few replies.
     pub fn quantile(&self, key: GateKey, quantile: f64) -> Option<Duration> {
         self.gates.get(key)?.quantile(quantile)
--- a/crates/limit/src/tuning.rs
+++ b/crates/limit/src/tuning.rs
@@ -13,6 +13,8 @@
     pub drain: bool,
     /// Pause after consecutive failures.
     pub backoff: bool,
+    /// Take prolonged silence for a failure.
+    pub silence: bool,
     /// Compare two replicas by load and latency; otherwise one is drawn at random.
     pub compare: bool,
     /// Prefer replicas in the node's own zone.
@@ -31,6 +33,7 @@
         ramp: false,
         drain: false,
         backoff: false,
+        silence: false,
         compare: false,
         zones: false,
         budget: false,
@@ -46,6 +49,7 @@
             ramp: true,
             drain: true,
             backoff: true,
+            silence: true,
             compare: true,
             zones: true,
             budget: true,
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -264,6 +264,34 @@
     assert_eq!(fill(&mut limits, key, now + ms(601)).0, SLOTS);
 }
 
+/// Guards against attempts into a partitioned zone, which neither reply nor fail, for the whole time that it lasts, and
+/// against taking an overloaded upstream, a slow reply or a reply that is not needed for one.
+#[rstest]
+#[case::silent(true, 3, 30, false, Err(Blocked::Paused))]
+#[case::seldom(true, 2, 30, false, Ok(()))]
+#[case::not_needed(true, 3, 9, false, Ok(()))]
+#[case::overloaded(true, 3, 30, true, Ok(()))]
+#[case::switched_off(false, 3, 30, false, Ok(()))]
+fn silent_upstream_is_paused(
+    #[case] silence: bool,
+    #[case] count: usize,
+    #[case] abandoned_ms: u64,
+    #[case] replies: bool,
+    #[case] expected: Result<(), Blocked>,
+) {
+    let (mut limits, key, now) = create_gate(|tuning| tuning.silence = silence);
+    let mut now = run(&mut limits, key, now, &[(Ending::Replied, 10); 60]);
+    for _ in 0..count {
+        let permit = limits.acquire(key, now + ms(1)).unwrap();
+        if replies {
+            run(&mut limits, key, now, &[(Ending::Replied, 25)]);
+        }
+        now += ms(1 + abandoned_ms);
+        limits.release(permit, Ending::Cancelled, now);
+    }
+    assert_eq!(limits.check(key, now), expected);
+}
+
 /// Guards against what is known of held versions going back in time when replies overtake each other.
 #[rstest]
 fn older_report_of_held_versions_is_ignored() {
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -78,7 +78,7 @@
             }
             if state.live.is_empty() {
                 self.send(shard, now, env, actions);
-            } else {
+            } else if !self.retry_silent(shard, now, env, actions) {
                 self.hedge(shard, now, env, actions);
             }
         }
@@ -185,7 +185,6 @@
             snapshot,
             deadline: self.plan.deadline,
         }));
-        let hedge = !state.hedged;
         self.attempts.insert(
             id,
             Sent {
@@ -196,12 +195,67 @@
                 permit: Some(permit),
             },
         );
-        if hedge && self.may_hedge() {
-            let due = now + self.hedge_after(shard, env.limits);
-            self.set_timer(shard, due);
+        self.plan_check(shard, now, env.limits);
+    }
+
+    /// Sets the timer of a shard that awaits a reply to when it may be hedged or its attempts count as silent.
+    fn plan_check(&mut self, shard: ShardId, now: Instant, limits: &Limits) {
+        let Some(state) = self.shards.get(&shard) else {
+            return;
+        };
+        let hedge = (!state.hedged && self.may_hedge())
+            .then(|| state.last_sent + self.hedge_after(shard, limits));
+        let awaited = state.live.iter().filter_map(|id| self.attempts.get(id));
+        let silent = awaited
+            .filter_map(|sent| Some(sent.sent + limits.silent_after(sent.key)?))
+            .max()
+            .filter(|_| self.may_retry(state));
+        if let Some(due) = [hedge, silent].into_iter().flatten().min() {
+            // What is due already lacks a token or a replica, which may become available at any moment.
+            self.set_timer(shard, if due > now { due } else { now + RECHECK });
         }
     }
 
+    fn may_retry(&self, state: &ShardState) -> bool {
+        self.plan.repeatable
+            && self.plan.tuning.retry
+            && self.plan.policy.retry_budget > 0.0
+            && state.retries < MAX_RETRIES
+    }
+
+    /// Sends one more attempt when every attempt of a shard is silent; tells whether it did.
+    ///
+    /// An attempt on a connection into a partitioned zone never fails, so that no retry would replace it in time.
+    fn retry_silent(
+        &mut self,
+        shard: ShardId,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let (Some(snapshot), Some(state)) = (self.snapshot, self.shards.get(&shard)) else {
+            return false;
+        };
+        let mut awaited = state.live.iter().filter_map(|id| self.attempts.get(id));
+        if !self.may_retry(state)
+            || !awaited.all(|sent| env.limits.is_silent(sent.key, sent.sent, now))
+        {
+            return false;
+        }
+        let candidates = state.untried(snapshot.version, env.limits, now);
+        if let Ok(key) = env.limits.pick(&candidates, now, env.rng)
+            && env.limits.take_retry(&self.plan.service)
+            && let Ok(permit) = env.limits.acquire(key, now)
+        {
+            if let Some(state) = self.shards.get_mut(&shard) {
+                state.retries += 1;
+            }
+            self.dispatch(shard, Kind::Retry, permit, now, env, actions);
+            return true;
+        }
+        false
+    }
+
     fn may_hedge(&self) -> bool {
         self.plan.repeatable
             && self.plan.tuning.hedging != Hedging::Off
@@ -210,7 +264,7 @@
 
     /// Sends a second attempt in parallel, if another replica and a token are available.
     ///
-    /// Without one of them the shard asks again after another delay, since both may become available.
+    /// Without one of them the shard asks again after a few milliseconds, since both may become available.
     fn hedge(
         &mut self,
         shard: ShardId,
@@ -219,26 +273,25 @@
         actions: &mut Vec<Action>,
     ) {
         let after = self.hedge_after(shard, env.limits);
+        let may_hedge = self.may_hedge();
         let (Some(snapshot), Some(state)) = (self.snapshot, self.shards.get_mut(&shard)) else {
             return;
         };
-        if state.hedged || !state.is_open() {
-            return;
-        }
-        let due = state.last_sent + after;
-        if now < due {
-            self.set_timer(shard, due);
+        if !state.is_open() {
             return;
         }
         let candidates = state.untried(snapshot.version, env.limits, now);
-        if let Ok(key) = env.limits.pick(&candidates, now, env.rng)
+        if may_hedge
+            && !state.hedged
+            && now >= state.last_sent + after
+            && let Ok(key) = env.limits.pick(&candidates, now, env.rng)
             && env.limits.take_hedge(&self.plan.service)
             && let Ok(permit) = env.limits.acquire(key, now)
         {
             state.hedged = true;
             self.dispatch(shard, Kind::Hedge, permit, now, env, actions);
         } else {
-            self.set_timer(shard, now + RECHECK);
+            self.plan_check(shard, now, env.limits);
         }
     }
 
