limit: refuse a query that has too little time to run

Admission compared the deadline with the mean running time, and a query started as long as its deadline had not passed. In overload, queries thus started with little time left, and their work was wasted. A query must now have the mean and twice the mean deviation of the running times seen lately, when it is offered and at its turn; a waiting one is refused as soon as that time is not left. While nothing runs, any query may start at its turn, so that an estimate that is too high is corrected.

--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -14,9 +14,14 @@
 /// Share of an interactive service relative to a batch service under contention.
 const INTERACTIVE_WEIGHT: u64 = 8;
 
-/// Weight of a new running time in the moving mean.
+/// Weight of a new running time in the moving mean and the moving deviation.
 const MEAN_WEIGHT: f64 = 0.1;
 
+/// Mean deviations above the mean for which a query must have time.
+///
+/// With the mean alone, half of the queries that just fit end at their deadline with their work wasted.
+const MARGIN: f64 = 2.0;
+
 /// Priority of a service's queries when they compete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Priority {
@@ -84,6 +89,7 @@
     running: u64,
     waiting: u64,
     mean_secs: f64,
+    deviation_secs: f64,
     queues: BTreeMap<ServiceName, Queue<T>>,
     round: VecDeque<ServiceName>,
 }
@@ -97,6 +103,7 @@
             running: 0,
             waiting: 0,
             mean_secs: 0.0,
+            deviation_secs: 0.0,
             queues: BTreeMap::new(),
             round: VecDeque::new(),
         }
@@ -112,9 +119,11 @@
         request: Request<T>,
         now: Instant,
     ) -> Result<(), (Refusal, Request<T>)> {
-        let wait = self.expect_wait(&request);
-        let end = now + wait + Duration::from_secs_f64(self.mean_secs);
-        if now >= request.deadline || end > request.deadline {
+        let start = now + self.expect_wait(&request);
+        let run = self
+            .expect_run()
+            .max(Duration::from_secs_f64(self.mean_secs));
+        if now >= request.deadline || start + run > request.deadline {
             return Err((Refusal::TooLate, request));
         }
         let queue = self
@@ -139,12 +148,13 @@
 
     /// Takes the next query out of the queues, or `None` when none waits or the capacity is in use.
     pub fn next_turn(&mut self, now: Instant) -> Option<Turn<T>> {
+        let end = now + self.expect_run();
         loop {
             let service = self.round.front()?.clone();
             let queue = self.queues.get_mut(&service)?;
             let head = queue.waiting.front()?;
             let cost = u64::from(head.cost);
-            if head.deadline <= now {
+            if head.deadline <= end {
                 return self.take_head(&service).map(|r| Turn::Expired(r.item));
             }
             if self.running > 0 && self.running + cost > self.capacity {
@@ -163,13 +173,14 @@
         }
     }
 
-    /// Takes every expired query out of the queues, so that callers hear of it before their turn would come.
+    /// Takes every query that would not end in time out of the queues, so that callers hear of it before their turn would come.
     pub fn drop_expired(&mut self, now: Instant) -> Vec<T> {
         let mut expired = Vec::new();
         let mut dropped_cost = 0;
+        let end = now + self.expect_run();
         for queue in self.queues.values_mut() {
             for request in std::mem::take(&mut queue.waiting) {
-                if request.deadline <= now {
+                if request.deadline <= end {
                     queue.cost -= u64::from(request.cost);
                     dropped_cost += u64::from(request.cost);
                     expired.push(request.item);
@@ -187,11 +198,12 @@
     pub fn finish(&mut self, cost: u32, elapsed: Duration) {
         self.running = self.running.saturating_sub(u64::from(cost));
         let secs = elapsed.as_secs_f64();
-        self.mean_secs = if self.mean_secs == 0.0 {
-            secs
-        } else {
-            self.mean_secs + MEAN_WEIGHT * (secs - self.mean_secs)
-        };
+        if self.mean_secs == 0.0 {
+            self.mean_secs = secs;
+        }
+        let error = secs - self.mean_secs;
+        self.mean_secs += MEAN_WEIGHT * error;
+        self.deviation_secs += MEAN_WEIGHT * (error.abs() - self.deviation_secs);
     }
 
     /// Changes the capacity in sub-requests.
@@ -209,6 +221,16 @@
         self.running
     }
 
+    /// Returns the time that a query should have left when it starts.
+    ///
+    /// While nothing runs it is zero: no query would end, and an estimate that is too high would stay so for ever.
+    fn expect_run(&self) -> Duration {
+        if self.running == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(self.mean_secs + MARGIN * self.deviation_secs)
+    }
+
     /// Estimates the wait of one more query: the work before it, at the rate that the capacity gives.
     ///
     /// While the own queue is served, a competing service gets at most its weight relative to the own one. A long
--- a/crates/limit/tests/admission.rs
+++ b/crates/limit/tests/admission.rs
@@ -125,3 +125,41 @@
     admission.finish(100, Duration::from_millis(5));
     assert_eq!(admission.next_turn(later), Some(Turn::Run("c", 30)));
 }
+
+/// Guards against work that is wasted because a query starts with too little time left, also when running times vary,
+/// and against refusing for ever once an estimate is too high and nothing runs that could correct it.
+#[rstest]
+#[case::too_late(true, [10, 10], 8, false)]
+#[case::in_time(true, [10, 10], 15, true)]
+#[case::varied_too_late(true, [10, 50], 40, false)]
+#[case::varied_in_time(true, [10, 50], 90, true)]
+#[case::nothing_runs(false, [10, 10], 8, true)]
+fn query_starts_only_with_time_to_end(
+    #[case] busy: bool,
+    #[case] times: [u64; 2],
+    #[case] left_ms: u64,
+    #[case] starts: bool,
+    #[values(true, false)] early: bool,
+) {
+    let now = Instant::now();
+    let mut admission = Admission::new(60, 10);
+    let deadline = now + Duration::from_secs(1);
+    let running = request("a", Priority::Interactive, 30, deadline);
+    admission.offer(running, now).unwrap();
+    admission.next_turn(now);
+    let waiting = request("b", Priority::Interactive, 30, deadline);
+    admission.offer(waiting, now).unwrap();
+    for at in 0..100 {
+        admission.finish(0, Duration::from_millis(times[at % 2]));
+    }
+    if !busy {
+        admission.finish(30, Duration::from_millis(times[0]));
+    }
+    let later = deadline - Duration::from_millis(left_ms);
+    if early {
+        assert_eq!(admission.drop_expired(later).is_empty(), starts);
+    } else {
+        let turn = admission.next_turn(later);
+        assert_eq!(turn == Some(Turn::Run("b", 30)), starts, "{turn:?}");
+    }
+}
