--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -24,6 +24,7 @@
 use crate::Ending;
 use crate::Gate;
 use crate::Tuning;
+use crate::budget::Reserve;
 
 /// Part of a server's connections that no share uses, in percent.
 ///
@@ -70,6 +71,7 @@
     pub(crate) gates: SlotMap<GateKey, Gate>,
     keys: HashMap<UpstreamId, GateKey>,
     budgets: BTreeMap<ServiceName, Budget>,
+    reserve: Reserve,
     freed: VecDeque<GateKey>,
 }
 
@@ -83,6 +85,7 @@
             gates: SlotMap::with_key(),
             keys: HashMap::new(),
             budgets: BTreeMap::new(),
+            reserve: Reserve::default(),
             freed: VecDeque::new(),
         }
     }
@@ -190,7 +193,7 @@
     /// Gives a permit back and learns from how the attempt ended.
     pub fn release(&mut self, permit: Permit, ending: Ending, now: Instant) {
         if let Some(gate) = self.gates.get_mut(permit.key) {
-            gate.leave(ending, permit.sent, permit.trial, now);
+            gate.leave(ending, (permit.sent, permit.trial), &self.tuning, now);
             if gate.has_waiters() {
                 self.freed.push_back(permit.key);
             }
@@ -257,6 +260,17 @@
         Some(held.contains(&version))
     }
 
+    /// Tells whether an attempt sent at `sent` is awaited far longer than replies take, with no sign of life since.
+    pub fn is_silent(&self, key: GateKey, sent: Instant, now: Instant) -> bool {
+        self.tuning.silence && self.gate(key).is_some_and(|gate| gate.is_silent(sent, now))
+    }
+
+    /// Returns the time without a sign of life from which [`Limits::is_silent`] holds, or `None` if it never does.
+    pub fn silent_after(&self, key: GateKey) -> Option<Duration> {
+        let gate = self.gate(key).filter(|_| self.tuning.silence)?;
+        Some(gate.silent_after())
+    }
+
     /// Returns a quantile of an upstream's reply time, or `None` with too few replies.
     pub fn quantile(&self, key: GateKey, quantile: f64) -> Option<Duration> {
         self.gates.get(key)?.quantile(quantile)
@@ -267,14 +281,31 @@
         self.budgets.get(service).copied().unwrap_or_default()
     }
 
+    /// Returns the hedge tokens that a service finds: its own and those of the reserve.
+    pub fn hedges(&self, service: &ServiceName) -> f64 {
+        self.budget(service).hedges() + self.reserve.tokens()
+    }
+
+    /// Returns the fraction of its sub-requests that a service should plan to hedge with the tokens left now.
+    ///
+    /// `declared` is the fraction that earns tokens. The plan is above it while tokens are saved up and below it while
+    /// they are short, so that replies that are hardly late don't take the tokens for stragglers.
+    pub fn plan_hedges(&self, service: &ServiceName, declared: f64) -> f64 {
+        self.reserve.plan(&self.budget(service), declared)
+    }
+
     /// Credits the budget of a service for one primary that completed.
     pub fn earn(&mut self, service: &ServiceName, hedge_rate: f64, retry_rate: f64) {
-        self.budget_mut(service).earn(hedge_rate, retry_rate);
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.earn(hedge_rate, retry_rate);
+        if self.tuning.reserve {
+            self.reserve.collect(budget);
+        }
     }
 
-    /// Takes the token for one hedge of a service, if there is one.
+    /// Takes the token for one hedge of a service, if it or the reserve has one.
     pub fn take_hedge(&mut self, service: &ServiceName) -> bool {
-        !self.tuning.budget || self.budget_mut(service).take_hedge()
+        !self.tuning.budget || self.budget_mut(service).take_hedge() || self.reserve.take()
     }
 
     /// Takes the token for one retry of a service, if there is one.
--- a/crates/limit/src/tuning.rs
+++ b/crates/limit/src/tuning.rs
@@ -13,12 +13,16 @@
     pub drain: bool,
     /// Pause after consecutive failures.
     pub backoff: bool,
+    /// Take prolonged silence for a failure.
+    pub silence: bool,
     /// Compare two replicas by load and latency; otherwise one is drawn at random.
     pub compare: bool,
     /// Prefer replicas in the node's own zone.
     pub zones: bool,
     /// Charge hedges and retries to the budget of the service.
     pub budget: bool,
+    /// Share hedge tokens that a service can't keep among the services of the node.
+    pub reserve: bool,
 }
 
 impl Tuning {
@@ -29,9 +33,11 @@
         ramp: false,
         drain: false,
         backoff: false,
+        silence: false,
         compare: false,
         zones: false,
         budget: false,
+        reserve: false,
     };
 }
 
@@ -43,9 +49,11 @@
             ramp: true,
             drain: true,
             backoff: true,
+            silence: true,
             compare: true,
             zones: true,
             budget: true,
+            reserve: true,
         }
     }
 }
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -264,6 +264,34 @@
     assert_eq!(fill(&mut limits, key, now + ms(601)).0, SLOTS);
 }
 
+/// Guards against attempts into a partitioned zone, which neither reply nor fail, for the whole time that it lasts, and
+/// against taking an overloaded upstream, a slow reply or a reply that is not needed for one.
+#[rstest]
+#[case::silent(true, 3, 30, false, Err(Blocked::Paused))]
+#[case::seldom(true, 2, 30, false, Ok(()))]
+#[case::not_needed(true, 3, 9, false, Ok(()))]
+#[case::overloaded(true, 3, 30, true, Ok(()))]
+#[case::switched_off(false, 3, 30, false, Ok(()))]
+fn silent_upstream_is_paused(
+    #[case] silence: bool,
+    #[case] count: usize,
+    #[case] abandoned_ms: u64,
+    #[case] replies: bool,
+    #[case] expected: Result<(), Blocked>,
+) {
+    let (mut limits, key, now) = create_gate(|tuning| tuning.silence = silence);
+    let mut now = run(&mut limits, key, now, &[(Ending::Replied, 10); 60]);
+    for _ in 0..count {
+        let permit = limits.acquire(key, now + ms(1)).unwrap();
+        if replies {
+            run(&mut limits, key, now, &[(Ending::Replied, 25)]);
+        }
+        now += ms(1 + abandoned_ms);
+        limits.release(permit, Ending::Cancelled, now);
+    }
+    assert_eq!(limits.check(key, now), expected);
+}
+
 /// Guards against what is known of held versions going back in time when replies overtake each other.
 #[rstest]
 fn older_report_of_held_versions_is_ignored() {
@@ -302,6 +330,8 @@
 /// Guards against traffic between zones that is not needed, and against missing shards that another zone can serve.
 #[rstest]
 #[case::own_zone(true, false, 10, [true, false, false])]
+#[case::own_zone_within_round_trip(true, false, 11, [true, false, false])]
+#[case::own_zone_slower(true, false, 15, [false, true, false])]
 #[case::own_zone_full(true, true, 10, [false, true, false])]
 #[case::own_zone_far_slower(true, false, 100, [false, true, false])]
 #[case::switched_off(false, false, 10, [true, true, true])]
@@ -371,3 +401,19 @@
     let picked = limits.pick(&keys, now, &mut Pcg64Mcg::new(7));
     assert_eq!(picked, Err(Blocked::Limit));
 }
+
+/// Guards against a service without a hedge token while the others of the node can't use theirs, and against one that
+/// takes the tokens that another keeps for itself.
+#[rstest]
+#[case::shared(true, (true, 10))]
+#[case::switched_off(false, (false, 50))]
+fn spare_hedge_tokens_are_shared(#[case] reserve: bool, #[case] expected: (bool, u32)) {
+    let (mut limits, _, _) = create_limits(|tuning| tuning.reserve = reserve, &[]);
+    let [idle, busy] = ["idle", "busy"].map(Into::into);
+    (0..1_000).for_each(|_| limits.earn(&idle, 0.1, 0.0));
+    let before = limits.plan_hedges(&busy, 0.03);
+    let taken = std::iter::from_fn(|| limits.take_hedge(&busy).then_some(())).count();
+    let left = std::iter::from_fn(|| limits.take_hedge(&idle).then_some(())).count();
+    assert_eq!((taken > 5, left as u32), expected);
+    assert!(limits.plan_hedges(&busy, 0.03) < before);
+}
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -78,7 +78,7 @@
             }
             if state.live.is_empty() {
                 self.send(shard, now, env, actions);
-            } else {
+            } else if !self.retry_silent(shard, now, env, actions) {
                 self.hedge(shard, now, env, actions);
             }
         }
@@ -185,8 +185,6 @@
             snapshot,
             deadline: self.plan.deadline,
         }));
-        let due = now + state.hedge_delay;
-        let hedge = !state.hedged && self.may_hedge();
         self.attempts.insert(
             id,
             Sent {
@@ -197,11 +195,67 @@
                 permit: Some(permit),
             },
         );
-        if hedge {
-            self.set_timer(shard, due);
+        self.plan_check(shard, now, env.limits);
+    }
+
+    /// Sets the timer of a shard that awaits a reply to when it may be hedged or its attempts count as silent.
+    fn plan_check(&mut self, shard: ShardId, now: Instant, limits: &Limits) {
+        let Some(state) = self.shards.get(&shard) else {
+            return;
+        };
+        let hedge = (!state.hedged && self.may_hedge())
+            .then(|| state.last_sent + self.hedge_after(shard, limits));
+        let awaited = state.live.iter().filter_map(|id| self.attempts.get(id));
+        let silent = awaited
+            .filter_map(|sent| Some(sent.sent + limits.silent_after(sent.key)?))
+            .max()
+            .filter(|_| self.may_retry(state));
+        if let Some(due) = [hedge, silent].into_iter().flatten().min() {
+            // What is due already lacks a token or a replica, which may become available at any moment.
+            self.set_timer(shard, if due > now { due } else { now + RECHECK });
         }
     }
 
+    fn may_retry(&self, state: &ShardState) -> bool {
+        self.plan.repeatable
+            && self.plan.tuning.retry
+            && self.plan.policy.retry_budget > 0.0
+            && state.retries < MAX_RETRIES
+    }
+
+    /// Sends one more attempt when every attempt of a shard is silent; tells whether it did.
+    ///
+    /// An attempt on a connection into a partitioned zone never fails, so that no retry would replace it in time.
+    fn retry_silent(
+        &mut self,
+        shard: ShardId,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let (Some(snapshot), Some(state)) = (self.snapshot, self.shards.get(&shard)) else {
+            return false;
+        };
+        let mut awaited = state.live.iter().filter_map(|id| self.attempts.get(id));
+        if !self.may_retry(state)
+            || !awaited.all(|sent| env.limits.is_silent(sent.key, sent.sent, now))
+        {
+            return false;
+        }
+        let candidates = state.untried(snapshot.version, env.limits, now);
+        if let Ok(key) = env.limits.pick(&candidates, now, env.rng)
+            && env.limits.take_retry(&self.plan.service)
+            && let Ok(permit) = env.limits.acquire(key, now)
+        {
+            if let Some(state) = self.shards.get_mut(&shard) {
+                state.retries += 1;
+            }
+            self.dispatch(shard, Kind::Retry, permit, now, env, actions);
+            return true;
+        }
+        false
+    }
+
     fn may_hedge(&self) -> bool {
         self.plan.repeatable
             && self.plan.tuning.hedging != Hedging::Off
@@ -210,7 +264,7 @@
 
     /// Sends a second attempt in parallel, if another replica and a token are available.
     ///
-    /// Without one of them the shard asks again after another delay, since both may become available.
+    /// Without one of them the shard asks again after a few milliseconds, since both may become available.
     fn hedge(
         &mut self,
         shard: ShardId,
@@ -218,23 +272,42 @@
         env: &mut Env<'_>,
         actions: &mut Vec<Action>,
     ) {
+        let after = self.hedge_after(shard, env.limits);
+        let may_hedge = self.may_hedge();
         let (Some(snapshot), Some(state)) = (self.snapshot, self.shards.get_mut(&shard)) else {
             return;
         };
-        if state.hedged || !state.is_open() {
+        if !state.is_open() {
             return;
         }
-        let delay = state.hedge_delay;
         let candidates = state.untried(snapshot.version, env.limits, now);
-        if let Ok(key) = env.limits.pick(&candidates, now, env.rng)
+        if may_hedge
+            && !state.hedged
+            && now >= state.last_sent + after
+            && let Ok(key) = env.limits.pick(&candidates, now, env.rng)
             && env.limits.take_hedge(&self.plan.service)
             && let Ok(permit) = env.limits.acquire(key, now)
         {
             state.hedged = true;
             self.dispatch(shard, Kind::Hedge, permit, now, env, actions);
         } else {
-            self.set_timer(shard, now + delay);
+            self.plan_check(shard, now, env.limits);
+        }
+    }
+
+    /// Returns how long a shard waits for a reply before it is hedged, as far as the tokens left allow now.
+    ///
+    /// The quantile is noisy and queues make more replies late than it says. With a delay that doesn't follow the
+    /// tokens, replies that are hardly late use them up, and stragglers find none.
+    fn hedge_after(&self, shard: ShardId, limits: &Limits) -> Duration {
+        let Some(state) = self.shards.get(&shard) else {
+            return Duration::ZERO;
+        };
+        if self.plan.tuning.hedging != Hedging::Budget {
+            return state.hedge_delay;
         }
+        let planned = limits.plan_hedges(&self.plan.service, self.plan.policy.hedge_budget);
+        state.find_delay(1.0 - planned, limits)
     }
 
     /// Replaces a failed attempt within the budget, or gives the shard up when nothing else is outstanding.
