query: replace attempts with a rejected version without a retry token

On a VM that has just started, 410 replies for a version that only some servers hold used up the five retry tokens, and a service that prefers coverage got code 400 after 33 to 61 ms of 250 ms. Such a reply proves that nothing ran, and the server is not asked again, so it costs at most one attempt per replica.

--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -330,13 +330,16 @@
         let plan = &self.plan;
         let safe = plan.repeatable || (not_run && plan.stale.is_none());
         let usable = !state.usable(snapshot.version, env.limits, now).is_empty();
-        if !plan.tuning.retry
-            || plan.policy.retry_budget <= 0.0
-            || !safe
-            || !usable
-            || state.retries >= MAX_RETRIES
-            || !env.limits.take_retry(&plan.service)
-        {
+        // A server that does not hold the version rejects at once and is not asked again, so that each replica costs at
+        // most one such attempt and no work. Tokens are kept for failures that may repeat.
+        let rejected = reason == MissingReason::Retired;
+        let funded = |limits: &mut Limits| {
+            plan.policy.retry_budget > 0.0
+                && state.retries < MAX_RETRIES
+                && limits.take_retry(&plan.service)
+        };
+        let may_replace = plan.tuning.retry && safe && usable;
+        if !may_replace || !(rejected || funded(env.limits)) {
             self.close(shard, Progress::Missing(reason));
             return;
         }
