limpetwick: choose ports of process tests where no server can take them

The tests with separate processes failed in 2 of 6 runs and, with the output of the processes shown, in 5 of 12: a stand-in could not bind the control address ("Address already in use"). The test had found the port free, and the system then gave it to one of the 115 servers of a fleet. No check is changed.

--- a/crates/limpetwick/tests/fleet/mod.rs
+++ b/crates/limpetwick/tests/fleet/mod.rs
@@ -1,11 +1,15 @@
 //! A deployment of separate processes on loopback.
 
+use std::io::BufRead;
+use std::io::BufReader;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +28,10 @@
 /// Bound on waiting for a state that must come; only a broken build reaches it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// First port for entry VMs, and the number of ports; the system gives out ports from 32768 on.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
+
 const BINARY: &str = env!("CARGO_BIN_EXE_limpetwick");
 const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
 const ZONES: [&str; 3] = ["zurich", "lausanne", "lugano"];
@@ -42,6 +50,29 @@
         Process(child.expect("the binary starts"))
     }
 
+    /// Starts a stand-in that chooses a free port itself and prints its address as the last word of a line.
+    ///
+    /// A port that the test chose beforehand may meanwhile belong to one of the 115 servers of a fleet.
+    fn start_announced(args: &[&str]) -> (Process, SocketAddr) {
+        let child = Command::new(BINARY)
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn();
+        let mut process = Process(child.expect("the binary starts"));
+        let stdout = process.0.stdout.take().expect("the output is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the output is text");
+        let addr = line.split_whitespace().last();
+        let addr = addr.unwrap_or_else(|| panic!("{args:?} ended before it served"));
+        (
+            process,
+            addr.parse().expect("the line ends with an address"),
+        )
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.0.id() as i32), signal).expect("the process exists");
     }
@@ -82,21 +113,19 @@
     pub async fn start(test: &str) -> Fleet {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         std::fs::create_dir_all(&dir).expect("the directory is writable");
-        let (platform_addr, control) = (free_addr(), free_addr());
-        let platform = Process::start(&["lab", "platform", "--listen", &platform_addr.to_string()]);
+        let (platform, platform_addr) =
+            Process::start_announced(&["lab", "platform", "--listen", "127.0.0.1:0"]);
         let http = Client::builder(TokioExecutor::new()).build_http();
         wait_for("the platform", async || {
             get(&http, platform_addr, "/vms").await.is_some()
         })
         .await;
-        let upstreams = Process::start(&[
+        let (upstreams, control) = Process::start_announced(&[
             "lab",
             "upstreams",
             "brunner-vaucher",
             "--platform",
             &platform_addr.to_string(),
-            "--control",
-            &control.to_string(),
         ]);
         wait_for("the upstreams", async || {
             get(&http, platform_addr, "/objects/index/collections")
@@ -240,7 +269,17 @@
 }
 
 /// Returns a loopback address that was free a moment ago.
+///
+/// Its port lies below those that the system gives out, or one of the many servers of a fleet could take it before the
+/// entry VM does; the process id keeps test processes that run at the same time apart.
 fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let offset = (std::process::id() % 300) as u16 * 40;
+    loop {
+        let port = FIRST_PORT + (offset + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
