--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -76,7 +76,7 @@
     NoUpstream = 307,
     /// The coverage at the deadline is below the declared minimum.
     BelowMinimum = 400,
-    /// The deadline passed and no shard has replied.
+    /// No shard has given a valid reply before the deadline.
     NoReply = 401,
     /// A request that may not be repeated was sent and its reply was lost.
     ReplyLost = 402,
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -72,6 +72,9 @@
     /// Idempotency key of a request that is not repeatable.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
+    /// Whether an earlier request with this key gave the result; nothing was sent for this one.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub replayed: bool,
     /// Index version and shard map that every part comes from.
     #[schemars(with = "Option<serde_json::Value>")]
     pub snapshot: Option<base::Snapshot>,
@@ -106,6 +109,7 @@
             query: explanation.query.to_string(),
             revision: explanation.revision,
             key: None,
+            replayed: false,
             snapshot: explanation.snapshot,
             coverage: explanation.coverage.clone(),
             parts,
--- a/crates/entry/src/claimed.rs
+++ b/crates/entry/src/claimed.rs
@@ -194,7 +194,7 @@
                 }
                 ClaimantAction::Send => {}
                 ClaimantAction::Finish(settlement) => {
-                    let answer = self.answer.take();
+                    let answer = self.answer.take().or_else(|| self.conclude_query());
                     let end = self.end.take();
                     // The caller's task may be gone; the claim keeps the outcome for its retry.
                     end.map(|end| end.send(ClaimedEnd { settlement, answer }).is_ok());
@@ -204,6 +204,17 @@
         }
     }
 
+    /// Returns the answer of a query whose caller is told the end before the query has noticed its own deadline.
+    fn conclude_query(&mut self) -> Option<Box<Answer>> {
+        let query = self.query.as_mut()?;
+        let index = &self.shared.plan.index;
+        let actions = self.shared.node.advance(query, index, Event::Wake);
+        actions.into_iter().find_map(|action| match action {
+            Action::Finish(answer) => Some(answer),
+            Action::Send(_) | Action::Cancel(_) | Action::WakeAt(_) => None,
+        })
+    }
+
     /// Takes in the end of an attempt; a reply that comes after the answer still settles the claim.
     fn receive(&mut self, event: Event) {
         self.outstanding -= 1;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -74,6 +74,15 @@
 /// Bits of an attempt id that count attempts; the bits above tell nodes and incarnations apart.
 const ATTEMPT_BITS: u32 = 40;
 
+/// Calls of the platform a second that one node may make.
+///
+/// A relay's watches take two to three, a home's writes up to seven. At 18 nodes this is at most 180 of the platform's
+/// several hundred writes and 2,000 reads a second; docs/CAPACITY.md has the figures for 590 nodes.
+const PLATFORM_RATE: f64 = 10.0;
+
+/// Calls of the platform that a node may make at once after a quiet time.
+const PLATFORM_BURST: u32 = 40;
+
 /// Pause between two looks at whether the node has caught up with its peers.
 const SYNC_POLL: Duration = Duration::from_millis(5);
 
@@ -185,7 +194,7 @@
         Node {
             metrics: Metrics::new(settings.statsd),
             pool: Pool::new(settings.zone.clone()),
-            store: Client::new(ClientOptions::new(settings.platform, seed)),
+            store: Client::new(store_options(settings.platform, seed)),
             peers: Peers::default(),
             homes: Homes::default(),
             conf: Mutex::new(InForce::new(now)),
@@ -768,6 +777,13 @@
     }
 }
 
+fn store_options(platform: SocketAddr, seed: u64) -> ClientOptions {
+    let mut options = ClientOptions::new(platform, seed);
+    options.governor.rate = PLATFORM_RATE;
+    options.governor.burst = PLATFORM_BURST;
+    options
+}
+
 fn empty_index(name: &str) -> IndexState {
     IndexState {
         index: name.into(),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -178,6 +178,7 @@
         query: format_query(id).to_string(),
         revision,
         key: Some(key.to_string()),
+        replayed: explanation.is_none(),
         snapshot: explanation
             .as_ref()
             .and_then(|explanation| explanation.snapshot),
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -42,7 +42,7 @@
     pub zone: String,
     /// Whether heartbeats from the zone arrive.
     pub reachable: bool,
-    /// Entry VMs that are in service.
+    /// Entry VMs that run, those that are stopping included.
     pub vms: u64,
     /// How many of them have which revision in force.
     pub revisions: Vec<RevisionStatus>,
@@ -126,13 +126,13 @@
     let mut vms = 0;
     if *zone == view.me().zone {
         for node in view.nodes().filter(|node| node.record.zone == *zone) {
-            if matches!(node.state(), NodeState::Live | NodeState::Suspect) {
+            if node.state() != NodeState::Dead {
                 vms += 1;
                 *counts.entry(node.record.revision).or_default() += 1;
             }
         }
     } else if let Some(summary) = summary {
-        vms = u64::from(summary.live + summary.suspect);
+        vms = u64::from(summary.nodes());
         counts.extend(
             summary
                 .revisions
