limit: test that a reply in between shows an upstream alive

The overloaded case of silent_upstream_is_paused passed without the check for replies during an abandoned attempt, since each reply reset the count. The attempts now run at the same time, with one reply between, so that only this check keeps the upstream in use. The expected results are unchanged.

Measured: with the check taken out the case fails; the full test run passes with it.

--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -281,12 +281,15 @@
 ) {
     let (mut limits, key, now) = create_gate(|tuning| tuning.silence = silence);
     let mut now = run(&mut limits, key, now, &[(Ending::Replied, 10); 60]);
-    for _ in 0..count {
-        let permit = limits.acquire(key, now + ms(1)).unwrap();
-        if replies {
-            run(&mut limits, key, now, &[(Ending::Replied, 25)]);
-        }
-        now += ms(1 + abandoned_ms);
+    now += ms(1);
+    let permits: Vec<_> = (0..count)
+        .map(|_| limits.acquire(key, now).unwrap())
+        .collect();
+    if replies {
+        run(&mut limits, key, now, &[(Ending::Replied, 25)]);
+    }
+    now += ms(abandoned_ms);
+    for permit in permits {
         limits.release(permit, Ending::Cancelled, now);
     }
     assert_eq!(limits.check(key, now), expected);
