entry: keep routes until the view of the fleet changes

Each sub-request that goes through a holder ranked a zone of VMs by hashing and searched an index for its upstream, and every 250 ms each group of upstreams was ranked and each upstream's health judged. At 590 nodes that is more work than the control budget allows. Routes, shares and the upstreams to probe are derived once for each change of the view, and drains are read from the short list of upstreams that are draining.

The holder and drain tests over loopback pass.

--- a/crates/entry/src/claimed.rs
+++ b/crates/entry/src/claimed.rs
@@ -306,7 +306,7 @@
 /// Sends a run over a connection that has just proved to work, if the claim still allows it at that moment.
 async fn send_run(shared: Arc<Shared>, attempt: Attempt) {
     let node = &shared.node;
-    let event = match node.upstream(&shared.plan.index, &attempt.upstream) {
+    let event = match node.upstream(&attempt.upstream) {
         None => Event::Failed(attempt.id, Failure::Unreachable),
         Some(upstream) => {
             let share = node.share(&attempt.upstream);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod peers;
 mod pool;
 mod request;
+mod routes;
 mod run;
 mod scatter;
 mod serve;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -19,7 +19,6 @@
 use base::Code;
 use base::IndexName;
 use base::IndexState;
-use base::NodeId;
 use base::QueryId;
 use base::Revision;
 use base::Upstream;
@@ -38,7 +37,6 @@
 use limit::Permit;
 use limit::Tuning;
 use member::Evidence;
-use member::GroupName;
 use member::Health;
 use member::Identity;
 use member::NodeState;
@@ -66,6 +64,8 @@
 use crate::peers::Peers;
 use crate::pool::CallError;
 use crate::pool::Pool;
+use crate::routes::Holder;
+use crate::routes::Routes;
 use crate::run::send_cancel;
 use crate::run::send_cancel_through;
 use crate::settings::Settings;
@@ -107,15 +107,16 @@
     /// The home of ledger objects on this node.
     pub homes: Homes,
     conf: Mutex<InForce>,
-    view: Mutex<View>,
+    pub(crate) view: Mutex<View>,
     epoch: AtomicU64,
-    indexes: RwLock<BTreeMap<IndexName, (Version, Arc<IndexState>)>>,
-    limits: Mutex<Limits>,
+    pub(crate) indexes: RwLock<BTreeMap<IndexName, (Version, Arc<IndexState>)>>,
+    pub(crate) limits: Mutex<Limits>,
+    pub(crate) routes: RwLock<Routes>,
     released: Notify,
     /// Queries that wait for admission.
     pub queues: Queues,
     running: Mutex<HashMap<QueryId, UnboundedSender<Event>>>,
-    heard: Mutex<HashMap<UpstreamId, Instant>>,
+    pub(crate) heard: Mutex<HashMap<UpstreamId, Instant>>,
     ids: Mutex<Ids>,
     tracked: Mutex<HashMap<AttemptId, Target>>,
     listed: AtomicBool,
@@ -131,24 +132,6 @@
     Holder(Holder),
 }
 
-/// An entry VM that connects to a group of upstreams on behalf of others.
-#[derive(Debug, Clone)]
-pub struct Holder {
-    /// The VM.
-    pub node: NodeId,
-    /// Its address for peers.
-    pub addr: SocketAddr,
-}
-
-/// How this node reaches an upstream.
-#[derive(Debug, Clone)]
-pub enum Route {
-    /// Over its own connections.
-    Direct,
-    /// Through one of the holders of a group, the first one that can be reached.
-    Through(GroupName, Vec<Holder>),
-}
-
 /// Sources of identifiers and random numbers.
 #[derive(Debug)]
 struct Ids {
@@ -207,6 +190,7 @@
             epoch: AtomicU64::new(0),
             indexes: RwLock::default(),
             limits: Mutex::new(limits),
+            routes: RwLock::default(),
             released: Notify::new(),
             queues: Queues::default(),
             running: Mutex::default(),
@@ -295,7 +279,7 @@
             limits.forget_held(&upstream.id);
         }
         drop(limits);
-        self.refresh_shares();
+        self.refresh_routes();
         self.apply_drains();
     }
 
@@ -340,7 +324,7 @@
     pub fn set_list(&self, list: &[Vm]) {
         lock(&self.view).set_list(list, Instant::now());
         self.listed.store(true, Ordering::SeqCst);
-        self.refresh_shares();
+        self.refresh_routes();
     }
 
     /// Returns the heartbeats that are due, and follows what changed in the view.
@@ -354,7 +338,7 @@
             lock(&self.conf).confirm(revision, at);
         }
         if self.epoch.swap(epoch, Ordering::SeqCst) != epoch {
-            self.refresh_shares();
+            self.refresh_routes();
         }
         outgoing
     }
@@ -432,115 +416,11 @@
         view.node(id).map(|node| node.record.addr)
     }
 
-    /// Gives every upstream the connections that the view allows this node.
-    fn refresh_shares(&self) {
-        let mut capacity = 0;
-        let view = lock(&self.view);
-        let mut limits = lock(&self.limits);
-        for (_, index) in self
-            .indexes
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .values()
-        {
-            for upstream in &index.upstreams {
-                let share = view.share(&upstream.id);
-                limits.set_upstream(upstream, (share > 0).then_some(share));
-                capacity += if share > 0 { share } else { upstream.slots };
-            }
-        }
-        drop(limits);
-        let nodes = view.nodes().count() as u32;
-        drop(view);
-        self.queues.set_capacity(capacity);
-        self.homes.share_writes(nodes);
+    /// Limits the calls of the platform to this node's part of the budget.
+    pub(crate) fn share_calls(&self, nodes: u32) {
         let rate = PLATFORM_CALLS / f64::from(nodes.max(1));
-        self.store
-            .set_rate(rate.clamp(MIN_PLATFORM_RATE, MAX_PLATFORM_RATE));
-    }
-
-    /// Tells how to reach an upstream.
-    pub fn route(&self, upstream: &UpstreamId) -> Route {
-        if self.share(upstream) > 0 {
-            return Route::Direct;
-        }
-        let view = lock(&self.view);
-        let Some(group) = view.group(upstream).cloned() else {
-            return Route::Direct;
-        };
-        let zone = view
-            .groups()
-            .find(|(name, _)| **name == group)
-            .map(|(_, group)| group.zone.clone());
-        let holders = view.holders(&group, &zone.unwrap_or_default());
-        let holders = holders
-            .into_iter()
-            .filter(|id| **id != self.settings.node)
-            .filter_map(|id| {
-                Some(Holder {
-                    node: id.clone(),
-                    addr: view.node(id)?.record.addr,
-                })
-            })
-            .collect();
-        Route::Through(group, holders)
-    }
-
-    /// Follows what peers say of upstreams that are leaving.
-    pub fn apply_drains(&self) {
-        let now = Instant::now();
-        let view = lock(&self.view);
-        let mut limits = lock(&self.limits);
-        for (_, index) in self
-            .indexes
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .values()
-        {
-            for upstream in &index.upstreams {
-                if view.health(&upstream.id, now) == Health::Draining
-                    && let Some(key) = limits.key(&upstream.id)
-                {
-                    limits.note_state(key, UpstreamState::Draining, now, now);
-                }
-            }
-        }
-    }
-
-    /// Returns the upstreams that this node has to probe, because it holds their group and has not heard from them
-    /// within `age`.
-    pub fn silent_upstreams(&self, age: Duration) -> Vec<Upstream> {
-        let now = Instant::now();
-        let view = lock(&self.view);
-        let heard = lock(&self.heard);
-        let indexes = self.indexes.read().unwrap_or_else(PoisonError::into_inner);
-        let mut silent = Vec::new();
-        for (name, group) in view.groups() {
-            if !view
-                .holders(name, &group.zone)
-                .contains(&&self.settings.node)
-            {
-                continue;
-            }
-            let Some((_, index)) = indexes.get(&group.index) else {
-                continue;
-            };
-            for id in &group.upstreams {
-                let recent = heard
-                    .get(id)
-                    .is_some_and(|at| now.saturating_duration_since(*at) < age);
-                if !recent {
-                    silent.extend(
-                        index
-                            .upstreams
-                            .iter()
-                            .find(|upstream| upstream.id == *id)
-                            .cloned(),
-                    );
-                }
-            }
-        }
-        silent
+        let rate = rate.clamp(MIN_PLATFORM_RATE, MAX_PLATFORM_RATE);
+        self.store.set_rate(rate);
     }
 
     /// Returns the state of an index.
@@ -560,15 +440,6 @@
             .len()
     }
 
-    /// Looks up an upstream of an index.
-    pub fn upstream(&self, index: &str, id: &UpstreamId) -> Option<Upstream> {
-        self.index(index)?
-            .upstreams
-            .iter()
-            .find(|upstream| upstream.id == *id)
-            .cloned()
-    }
-
     /// Returns the connections that this node may use of an upstream's limit.
     pub fn share(&self, upstream: &UpstreamId) -> u32 {
         let limits = lock(&self.limits);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -28,12 +28,12 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::node::Holder;
 use crate::node::Node;
-use crate::node::Route;
 use crate::pool::CallError;
 use crate::pool::Reply;
 use crate::request::format_query;
+use crate::routes::Holder;
+use crate::routes::Route;
 use crate::scatter::send_group;
 
 /// Path of a query at an upstream.
@@ -110,7 +110,7 @@
 
 /// Sends attempts to the upstreams that this node connects to, and the rest through holders, one message a group.
 fn send_attempts(shared: &Arc<Shared>, attempts: Vec<Attempt>) {
-    let mut groups: BTreeMap<GroupName, (Vec<Holder>, Vec<Attempt>)> = BTreeMap::new();
+    let mut groups: BTreeMap<GroupName, (Arc<[Holder]>, Vec<Attempt>)> = BTreeMap::new();
     for attempt in attempts {
         match shared.node.route(&attempt.upstream) {
             Route::Direct => drop(tokio::spawn(send_attempt(shared.clone(), attempt))),
@@ -132,7 +132,7 @@
 async fn send_attempt(shared: Arc<Shared>, attempt: Attempt) {
     let (node, plan) = (&shared.node, &shared.plan);
     let id = attempt.id;
-    let Some(upstream) = node.upstream(&plan.index, &attempt.upstream) else {
+    let Some(upstream) = node.upstream(&attempt.upstream) else {
         shared.report(Event::Failed(id, Failure::Unreachable));
         return;
     };
--- a/crates/entry/src/scatter.rs
+++ b/crates/entry/src/scatter.rs
@@ -26,11 +26,11 @@
 use wire::ScatterRequest;
 use wire::attempt_result::Result as WireResult;
 
-use crate::node::Holder;
 use crate::node::Node;
 use crate::pool::CallError;
 use crate::pool::Reply;
 use crate::request::format_query;
+use crate::routes::Holder;
 use crate::run::PATH_QUERY;
 use crate::run::Shared;
 use crate::run::encode;
@@ -45,7 +45,7 @@
 ///
 /// When the first holder cannot be reached nothing was sent, and the next one is asked. A stream that breaks later
 /// leaves its attempts lost, because the holder may have sent them.
-pub async fn send_group(shared: Arc<Shared>, holders: Vec<Holder>, attempts: Vec<Attempt>) {
+pub async fn send_group(shared: Arc<Shared>, holders: Arc<[Holder]>, attempts: Vec<Attempt>) {
     let Some(first) = attempts.first() else {
         return;
     };
@@ -64,7 +64,7 @@
         .collect();
     let sent = Instant::now();
     let mut failure = Failure::Unreachable;
-    for holder in holders {
+    for holder in holders.iter() {
         let mut client = shared.node.peers.client(holder.addr);
         let stream = match client.scatter(request.clone()).await {
             Ok(response) => response.into_inner(),
@@ -80,7 +80,7 @@
         };
         shared
             .node
-            .track_holder(attempts.iter().map(|attempt| attempt.id), &holder);
+            .track_holder(attempts.iter().map(|attempt| attempt.id), holder);
         failure = Failure::Lost;
         read_results(&shared, stream, &mut open, sent).await;
         break;
@@ -210,7 +210,7 @@
 async fn call_upstream(group: &Group, attempt: &wire::Attempt, result: &mut AttemptResult) {
     let node = &group.node;
     let id = UpstreamId::from(attempt.upstream.as_str());
-    let Some(upstream) = node.upstream(&group.request.index, &id) else {
+    let Some(upstream) = node.upstream(&id) else {
         result.result = Some(not_run("the holder does not know the upstream"));
         return;
     };
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -290,6 +290,13 @@
         entry.placement.as_ref().map(|place| &place.group)
     }
 
+    /// Returns the upstreams that are draining, ascending.
+    pub fn draining(&self) -> impl Iterator<Item = &UpstreamId> {
+        let draining =
+            |id: &&UpstreamId| self.upstreams.get(*id).is_some_and(|entry| entry.draining);
+        self.exceptions.iter().filter(draining)
+    }
+
     /// Judges an upstream by what this node and others have seen of it.
     pub fn health(&self, upstream: &str, now: Instant) -> Health {
         match self.upstreams.get(upstream) {
