entry: let a stopping holder finish the work of its peers

On SIGTERM a VM gave its peers one second after its own requests, whatever the declared deadlines, and stopped the timer of its ledgers before. Sub-requests that it carried as a holder were cut off.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,7 +18,9 @@
 mod admission;
 mod api;
 mod claimed;
+mod configuration;
 mod control;
+mod fleet;
 mod home;
 mod metrics;
 mod node;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -20,17 +20,11 @@
 use base::IndexName;
 use base::IndexState;
 use base::QueryId;
-use base::Revision;
 use base::Upstream;
 use base::UpstreamId;
 use base::UpstreamState;
-use base::Vm;
 use base::hash_key;
-use conf::Freshness;
 use conf::InForce;
-use conf::Offered;
-use conf::Update;
-use decl::Catalogue;
 use limit::Blocked;
 use limit::Ending;
 use limit::Limits;
@@ -39,8 +33,6 @@
 use member::Evidence;
 use member::Health;
 use member::Identity;
-use member::NodeState;
-use member::Outgoing;
 use member::View;
 use query::Action;
 use query::Env;
@@ -54,8 +46,6 @@
 use store::Version;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
-use wire::BeatMessage;
-use wire::BeatReply;
 
 use crate::admission::Queues;
 use crate::home::Homes;
@@ -88,9 +78,6 @@
 /// Calls of the platform that a node may make at once after a quiet time.
 const PLATFORM_BURST: u32 = 40;
 
-/// Pause between two looks at whether the node has caught up with its peers.
-const SYNC_POLL: Duration = Duration::from_millis(5);
-
 /// State of one entry VM.
 #[derive(Debug)]
 pub struct Node {
@@ -106,9 +93,9 @@
     pub peers: Peers,
     /// The home of ledger objects on this node.
     pub homes: Homes,
-    conf: Mutex<InForce>,
+    pub(crate) conf: Mutex<InForce>,
     pub(crate) view: Mutex<View>,
-    epoch: AtomicU64,
+    pub(crate) epoch: AtomicU64,
     pub(crate) indexes: RwLock<BTreeMap<IndexName, (Version, Arc<IndexState>)>>,
     pub(crate) limits: Mutex<Limits>,
     pub(crate) routes: RwLock<Routes>,
@@ -117,9 +104,9 @@
     pub queues: Queues,
     running: Mutex<HashMap<QueryId, UnboundedSender<Event>>>,
     pub(crate) heard: Mutex<HashMap<UpstreamId, Instant>>,
-    ids: Mutex<Ids>,
+    pub(crate) ids: Mutex<Ids>,
     tracked: Mutex<HashMap<AttemptId, Target>>,
-    listed: AtomicBool,
+    pub(crate) listed: AtomicBool,
     stopping: AtomicBool,
     closed: AtomicBool,
     active: AtomicUsize,
@@ -134,9 +121,9 @@
 
 /// Sources of identifiers and random numbers.
 #[derive(Debug)]
-struct Ids {
+pub(crate) struct Ids {
     attempt: AttemptId,
-    rng: Pcg64,
+    pub(crate) rng: Pcg64,
 }
 
 /// Counts one request in progress until it is dropped.
@@ -205,62 +192,6 @@
         }
     }
 
-    /// Returns the configuration in force.
-    pub fn catalogue(&self) -> Option<Arc<Catalogue>> {
-        lock(&self.conf).catalogue().cloned()
-    }
-
-    /// Returns the revision in force; zero before the first.
-    pub fn revision(&self) -> Revision {
-        lock(&self.conf).revision()
-    }
-
-    /// Returns the age of the configuration when it exceeds the bound within which it should be confirmed.
-    pub fn stale(&self, now: Instant) -> Option<Duration> {
-        match lock(&self.conf).freshness(now) {
-            Freshness::Fresh => None,
-            Freshness::Cautious { age } => Some(age),
-        }
-    }
-
-    /// Takes in a catalogue that the platform returned to a question sent at `asked`.
-    pub fn offer_catalogue(&self, catalogue: Catalogue, asked: Instant) {
-        let revision = catalogue.revision;
-        let changed = lock(&self.conf).offer(catalogue, Instant::now());
-        self.confirm(revision, asked);
-        self.announce(changed);
-    }
-
-    /// Takes in what a peer passed on; returns whether the whole catalogue is needed.
-    pub fn offer_update(&self, update: Update) -> bool {
-        let offered = lock(&self.conf).offer_update(update, Instant::now());
-        self.announce(offered == Offered::Changed);
-        offered == Offered::Gap
-    }
-
-    /// Records that the platform had a revision as its newest at a moment.
-    pub fn confirm(&self, revision: Revision, at: Instant) {
-        lock(&self.conf).confirm(revision, at);
-        lock(&self.view).confirm(revision, at);
-    }
-
-    /// Returns what a peer at a revision needs.
-    pub fn update_since(&self, since: Revision) -> Option<Update> {
-        lock(&self.conf).update_since(since)
-    }
-
-    fn announce(&self, changed: bool) {
-        if !changed {
-            return;
-        }
-        let Some(catalogue) = self.catalogue() else {
-            return;
-        };
-        log::info!("conf: revision {} in force", catalogue.revision);
-        lock(&self.view).set_revision(catalogue.revision, Instant::now());
-        lock(&self.limits).retain_services(|service| catalogue.entries.contains_key(service));
-    }
-
     /// Takes in the state of an index at a version of its object in the platform; an older one is ignored.
     pub fn set_index(&self, version: Version, index: IndexState) {
         let mut indexes = self.indexes.write().unwrap_or_else(PoisonError::into_inner);
@@ -303,119 +234,6 @@
             .collect()
     }
 
-    /// Returns a live peer drawn at random, or a seed when no peer is known.
-    pub fn random_peer(&self) -> Option<SocketAddr> {
-        let draw = lock(&self.ids).rng.next_u64() as usize;
-        let view = lock(&self.view);
-        let peers: Vec<SocketAddr> = view
-            .nodes()
-            .filter(|node| node.record.id != self.settings.node && node.state() == NodeState::Live)
-            .map(|node| node.record.addr)
-            .collect();
-        let known = if peers.is_empty() {
-            &self.settings.seeds
-        } else {
-            &peers
-        };
-        (!known.is_empty()).then(|| known[draw % known.len()])
-    }
-
-    /// Takes in the platform's list of VMs.
-    pub fn set_list(&self, list: &[Vm]) {
-        lock(&self.view).set_list(list, Instant::now());
-        self.listed.store(true, Ordering::SeqCst);
-        self.refresh_routes();
-    }
-
-    /// Returns the heartbeats that are due, and follows what changed in the view.
-    pub fn tick_view(&self) -> Vec<Outgoing> {
-        let mut view = lock(&self.view);
-        let outgoing = view.tick(Instant::now(), &mut lock(&self.ids).rng);
-        let epoch = view.epoch();
-        let confirmation = view.confirmation();
-        drop(view);
-        if let Some((revision, at)) = confirmation {
-            lock(&self.conf).confirm(revision, at);
-        }
-        if self.epoch.swap(epoch, Ordering::SeqCst) != epoch {
-            self.refresh_routes();
-        }
-        outgoing
-    }
-
-    /// Merges a heartbeat of a peer.
-    pub fn receive_beat(&self, beat: &BeatMessage) -> BeatReply {
-        let reply = lock(&self.view).receive(beat, Instant::now());
-        if !beat.upstreams.is_empty() {
-            self.apply_drains();
-        }
-        reply
-    }
-
-    /// Merges the reply to a heartbeat.
-    pub fn receive_beat_reply(&self, reply: &BeatReply) {
-        lock(&self.view).receive_reply(reply, Instant::now());
-        if !reply.upstreams.is_empty() {
-            self.apply_drains();
-        }
-    }
-
-    /// Waits until this node knows what its peers know of drains, which it does not after its start or a pause.
-    pub async fn wait_synced(&self, deadline: Instant) -> Result<(), Code> {
-        loop {
-            let now = Instant::now();
-            if lock(&self.view).is_synced(now) {
-                return Ok(());
-            }
-            if now >= deadline {
-                return Err(Code::NotReady);
-            }
-            tokio::time::sleep(SYNC_POLL).await;
-        }
-    }
-
-    /// Returns a heartbeat that only introduces this node.
-    pub fn introduction(&self) -> BeatMessage {
-        BeatMessage {
-            sender: Some(lock(&self.view).me().to_message()),
-            ..BeatMessage::default()
-        }
-    }
-
-    /// Announces that this node is going to stop.
-    pub fn leave(&self) {
-        lock(&self.view).leave(Instant::now());
-    }
-
-    /// Looks at the view of the fleet.
-    pub fn with_view<T>(&self, look: impl FnOnce(&View) -> T) -> T {
-        look(&lock(&self.view))
-    }
-
-    /// Tells whether this node watches the platform on behalf of its zone.
-    pub fn is_relay(&self) -> bool {
-        let view = lock(&self.view);
-        view.relays(&self.settings.zone)
-            .contains(&&self.settings.node)
-    }
-
-    /// Returns a peer that has a higher revision than this node.
-    pub fn newer_peer(&self) -> Option<SocketAddr> {
-        let revision = self.revision();
-        let view = lock(&self.view);
-        let (newest, id) = view.newest()?;
-        (newest > revision).then(|| view.node(id).map(|node| node.record.addr))?
-    }
-
-    /// Returns the address of the home of a ledger object; `None` when it is this node.
-    pub fn home(&self, ledger: u8) -> Option<SocketAddr> {
-        let view = lock(&self.view);
-        let id = view
-            .home(ledger.into())
-            .filter(|id| **id != self.settings.node)?;
-        view.node(id).map(|node| node.record.addr)
-    }
-
     /// Limits the calls of the platform to this node's part of the budget.
     pub(crate) fn share_calls(&self, nodes: u32) {
         let rate = PLATFORM_CALLS / f64::from(nodes.max(1));
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -82,11 +82,17 @@
         tokio::time::sleep(self.node.settings.notice).await;
         self.node.refuse_requests();
         self.wait_for_requests().await;
-        self.tasks.shutdown().await;
+        // Peers may still wait for this node as their holder or home, for as long as a request of theirs may take.
         let _ = self.peer_stop.send(());
-        // Calls that peers have under way end by their own deadlines.
-        let _ = tokio::time::timeout(MIN_DRAIN, &mut self.peer_server).await;
+        let longest = longest_deadline(&self.node);
+        if tokio::time::timeout(longest, &mut self.peer_server)
+            .await
+            .is_err()
+        {
+            log::warn!("peer: calls of peers outlasted the longest deadline");
+        }
         self.peer_server.abort();
+        self.tasks.shutdown().await;
         self.node.pool.close_idle();
         let closed = self.server.close().await;
         log::info!("entry: stopped");
@@ -98,14 +104,7 @@
 
     /// Waits until no request is in progress, at most for the longest declared deadline.
     async fn wait_for_requests(&self) {
-        let longest = self.node.catalogue().and_then(|catalogue| {
-            catalogue
-                .entries
-                .values()
-                .map(|entry| entry.declaration.deadline)
-                .max()
-        });
-        let bound = tokio::time::sleep(longest.unwrap_or_default().max(MIN_DRAIN));
+        let bound = tokio::time::sleep(longest_deadline(&self.node));
         tokio::pin!(bound);
         while self.node.active() > 0 {
             tokio::select! {
@@ -119,6 +118,16 @@
     }
 }
 
+/// Returns the longest declared deadline, which bounds every wait for work in progress.
+fn longest_deadline(node: &Node) -> Duration {
+    let catalogue = node.catalogue();
+    let entries = catalogue
+        .iter()
+        .flat_map(|catalogue| catalogue.entries.values());
+    let longest = entries.map(|entry| entry.declaration.deadline).max();
+    longest.unwrap_or_default().max(MIN_DRAIN)
+}
+
 /// Starts an entry VM; `seed` starts its random generators.
 pub async fn start_entry(settings: Settings, seed: u64) -> Result<Entry, ServeError> {
     let listener = TcpListener::bind(settings.peer)
--- a/crates/lab/src/deploy.rs
+++ b/crates/lab/src/deploy.rs
@@ -135,6 +135,21 @@
         self.indexes.iter().find(|index| index.state.index == name)
     }
 
+    /// Lets every server accept only so many connections, from all VMs together.
+    pub fn limit_connections(&mut self, connections: u32) {
+        for index in &mut self.indexes {
+            index
+                .state
+                .upstreams
+                .iter_mut()
+                .for_each(|upstream| upstream.connections = connections);
+            index
+                .servers
+                .iter_mut()
+                .for_each(|server| server.connections = connections);
+        }
+    }
+
     /// Gives the servers consecutive loopback ports, so that settings files can name them beforehand.
     pub fn assign_ports(&mut self, first: u16) {
         let upstreams = self
--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -51,14 +51,7 @@
     deployment
         .indexes
         .retain(|candidate| candidate.state.index == index);
-    for index in &mut deployment.indexes {
-        for upstream in &mut index.state.upstreams {
-            upstream.connections = connections;
-        }
-        for server in &mut index.servers {
-            server.connections = connections;
-        }
-    }
+    deployment.limit_connections(connections);
     deployment
 }
 
--- a/crates/limpetwick/src/flags.rs
+++ b/crates/limpetwick/src/flags.rs
@@ -121,6 +121,8 @@
                 /// Address of the control port, which switches faults; a free loopback port when absent.
                 optional --control addr: SocketAddr
                 /// Seed of all random choices; 1 when absent.
+                optional --connections connections: u32
+                /// Seed of all random choices.
                 optional --seed seed: u64
             }
 
--- a/crates/limpetwick/src/main.rs
+++ b/crates/limpetwick/src/main.rs
@@ -158,6 +158,9 @@
             format!("no example deployment is named {:?}", args.deployment),
         );
     };
+    if let Some(connections) = args.connections {
+        deployment.limit_connections(connections);
+    }
     let control = args.control.unwrap_or(([127, 0, 0, 1], 0).into());
     let options = Options {
         seed,
--- a/crates/limpetwick/tests/fleet/mod.rs
+++ b/crates/limpetwick/tests/fleet/mod.rs
@@ -83,6 +83,11 @@
 impl Fleet {
     /// Starts a fleet of three entry VMs, publishes the examples, and waits until every VM is ready.
     pub async fn start(test: &str) -> Fleet {
+        Fleet::start_with(test, ZONES.len(), &[]).await
+    }
+
+    /// Starts a fleet of so many entry VMs, with more flags for the stand-ins of the upstreams.
+    pub async fn start_with(test: &str, entries: usize, flags: &[&str]) -> Fleet {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         std::fs::create_dir_all(&dir).expect("the directory is writable");
         let mut ports = Ports::new();
@@ -93,15 +98,17 @@
             get(&http, platform_addr, "/vms").await.is_some()
         })
         .await;
-        let upstreams = Process::start(&[
+        let (platform_text, control_text) = (platform_addr.to_string(), control.to_string());
+        let mut args = vec![
             "lab",
             "upstreams",
             "brunner-vaucher",
             "--platform",
-            &platform_addr.to_string(),
-            "--control",
-            &control.to_string(),
-        ]);
+            &platform_text,
+        ];
+        args.extend(["--control", &control_text]);
+        args.extend(flags);
+        let upstreams = Process::start(&args);
         wait_for("the upstreams", async || {
             get(&http, platform_addr, "/objects/index/collections")
                 .await
@@ -118,7 +125,7 @@
             ports,
             http,
         };
-        for number in 0..ZONES.len() {
+        for number in 0..entries {
             fleet.add_entry(number, &[]).await;
         }
         assert_eq!(
@@ -126,7 +133,7 @@
             Some(0),
             "the examples are in force everywhere"
         );
-        for number in 0..ZONES.len() {
+        for number in 0..entries {
             fleet.wait_until_ready(number).await;
         }
         fleet
--- a/crates/limpetwick/tests/processes.rs
+++ b/crates/limpetwick/tests/processes.rs
@@ -37,6 +37,31 @@
     assert_eq!(fleet.entries[0].process.wait(), Some(0));
 }
 
+/// Guards against a planned stop that cuts off the sub-requests which a VM carries for others as their holder. With ten
+/// connections a server, six VMs cannot all connect to it. The replies take longer than a second, so that a bound on the
+/// stop shorter than the longest declared deadline shows.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_holder_finishes_the_work_of_its_peers() {
+    let fleet = Fleet::start_with("stopping_holder", 6, &["--connections", "10"]).await;
+    fleet
+        .inject(&[], json!({ "fault": "slow", "factor": 250.0 }))
+        .await;
+    let fleet = std::sync::Arc::new(fleet);
+    let mut calls = JoinSet::new();
+    for entry in 1..6 {
+        let fleet = fleet.clone();
+        calls.spawn(async move { fleet.call(entry, "portal-export", "export", None).await });
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    fleet.entries[0].process.signal(Signal::SIGTERM);
+    for answer in calls.join_all().await {
+        let answer = answer.expect("every caller has an answer");
+        assert_eq!(answer["explanation"]["lost"], 0, "{answer}");
+    }
+    let mut fleet = std::sync::Arc::into_inner(fleet).expect("the calls have ended");
+    assert_eq!(fleet.entries[0].process.wait(), Some(0));
+}
+
 /// Guards against a second run when a VM dies during a request and the caller retries through another VM.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_vm_leaves_at_most_one_run() {
