limpetwick: test a holder that dies in mid-query; show replayed results

The loss of a holder while it carries sub-requests of peers had no test. The new process test kills one and checks that every answer accounts for each shard once.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -241,7 +241,11 @@
             format!("{}/{}", coverage["covered"], coverage["members"]),
             explanation["attempts"].to_string(),
             explanation["elapsed_ms"].to_string(),
-            describe_missing(&coverage["missing"]),
+            if answer["replayed"] == true {
+                "none; the result of the first call".to_owned()
+            } else {
+                describe_missing(&coverage["missing"])
+            },
         );
     }
 }
--- a/crates/lab/src/deploy.rs
+++ b/crates/lab/src/deploy.rs
@@ -20,7 +20,7 @@
 
 use crate::settings::Settings;
 
-/// Age of the load and health figures; the page only says that they lag.
+/// Age of the load and health figures; docs/design.md only says that they lag.
 const REPORT_LAG: Duration = Duration::from_secs(2);
 
 /// Time for which a draining server still accepts work, from guarantee G6.
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -28,7 +28,7 @@
 pub const LIMIT_BYTES: f64 = 4096.0;
 /// Limit for a drain to reach every node, in seconds.
 ///
-/// The page allows 3 s from the start of the drain, of which an idle upstream's probe may take 1 s.
+/// docs/design.md allows 3 s from the start of the drain, of which an idle upstream's probe may take 1 s.
 pub const LIMIT_DRAIN: f64 = 2.0;
 /// Limit for a revision to be in force on every node, in seconds.
 pub const LIMIT_REVISION: f64 = 4.0;
@@ -37,7 +37,7 @@
 const PAGE_RESTARTS: f64 = 640.0;
 const PAGE_FAILURES: f64 = 29.0;
 const PAGE_NODES: f64 = 590.0;
-/// The churn phase runs this many times faster than the page's churn, so that a short run has events.
+/// The churn phase runs this many times faster than the churn in docs/design.md, so that a short run has events.
 const CHURN_SPEEDUP: f64 = 60.0;
 /// Time that a leaving VM runs on before it stops.
 const LEAVE_TIME: Duration = Duration::from_secs(3);
@@ -101,7 +101,7 @@
     pub healed_drain: Option<f64>,
     /// The most that one node sent in one second after healing.
     pub heal_peak: f64,
-    /// Bytes sent per node and second during churn at [`CHURN_SPEEDUP`] times the page's rate.
+    /// Bytes sent per node and second during churn at [`CHURN_SPEEDUP`] times the rate in docs/design.md.
     pub churn_sent: f64,
     /// Slowest of the drains during churn, in seconds.
     pub churn_drain: Option<f64>,
@@ -186,7 +186,7 @@
         let extra = (slope.churn_sent - slope.sent) / CHURN_SPEEDUP;
         writeln!(
             out,
-            "{} VMs: the page's churn adds about {extra:.0} bytes/s sent, a part in {CHURN_SPEEDUP} of the storm's",
+            "{} VMs: the daily churn adds about {extra:.0} bytes/s sent, a part in {CHURN_SPEEDUP} of the storm's",
             slope.nodes
         )?;
     }
--- a/crates/limpetwick/tests/processes.rs
+++ b/crates/limpetwick/tests/processes.rs
@@ -62,6 +62,47 @@
     assert_eq!(fleet.entries[0].process.wait(), Some(0));
 }
 
+/// Guards against an answer that hides the shards of a holder which died in mid-query, or counts one twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_holder_leaves_true_coverage() {
+    let fleet = Fleet::start_with("killed_holder", 6, &["--connections", "10"]).await;
+    fleet
+        .inject(&[], json!({ "fault": "slow", "factor": 10.0 }))
+        .await;
+    let fleet = std::sync::Arc::new(fleet);
+    let mut calls = JoinSet::new();
+    for entry in 1..6 {
+        let fleet = fleet.clone();
+        calls.spawn(async move { fleet.call(entry, "portal-export", "export", None).await });
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(40)).await;
+    fleet.entries[0].process.signal(Signal::SIGKILL);
+    for answer in calls.join_all().await {
+        let answer = answer.expect("every caller has an answer");
+        let coverage = &answer["coverage"];
+        let missing = coverage["missing"]
+            .as_array()
+            .expect("the missing shards are listed")
+            .len();
+        let answered = coverage["answered"]
+            .as_u64()
+            .expect("the answered shards are counted");
+        assert_eq!(
+            answered + missing as u64,
+            coverage["shards"].as_u64().unwrap(),
+            "{answer}"
+        );
+        if let Some(parts) = answer["parts"].as_array() {
+            let mut shards: Vec<u64> = parts
+                .iter()
+                .filter_map(|part| part["shard"].as_u64())
+                .collect();
+            shards.dedup();
+            assert_eq!(shards.len() as u64, answered, "no shard twice: {answer}");
+        }
+    }
+}
+
 /// Guards against a second run when a VM dies during a request and the caller retries through another VM.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_vm_leaves_at_most_one_run() {
--- a/crates/member/src/timing.rs
+++ b/crates/member/src/timing.rs
@@ -86,7 +86,7 @@
 
 /// Sustained bytes per second of urgent heartbeats.
 ///
-/// The periodic ones take about 2 KB/s to send and as much to receive; the page's changes, one in 54 s, add about 100
+/// The periodic ones take about 2 KB/s to send and as much to receive; the changes of an ordinary day, one in 54 s, add about 100
 /// bytes/s. In a lasting storm of changes a VM sends just under 4 KB/s, replies included.
 pub(crate) const URGENT_RATE: f64 = 700.0;
 
