--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -31,7 +31,6 @@
 use limit::Permit;
 use limit::Tuning;
 use member::Evidence;
-use member::Health;
 use member::Identity;
 use member::View;
 use query::Action;
@@ -59,7 +58,6 @@
 use crate::run::send_cancel;
 use crate::run::send_cancel_through;
 use crate::settings::Settings;
-use crate::status::UpstreamStatus;
 
 /// Bits of an attempt id that count attempts; the bits above tell nodes and incarnations apart.
 const ATTEMPT_BITS: u32 = 40;
@@ -326,36 +324,6 @@
         self.wake(woken);
     }
 
-    /// Reports the state of the node as gauges.
-    pub fn set_gauges(&self) {
-        let age = self.stale(Instant::now()).unwrap_or_default();
-        self.metrics.gauge("requests.active", self.active() as u64);
-        self.metrics
-            .gauge("requests.queued", self.queues.queued() as u64);
-        self.metrics
-            .gauge("configuration.revision", self.revision());
-        self.metrics
-            .gauge("configuration.stale_ms", age.as_millis() as u64);
-    }
-
-    /// Lists the upstreams that take no new work, by what this node and its peers have seen.
-    pub fn troubled_upstreams(&self, now: Instant) -> Vec<UpstreamStatus> {
-        let view = lock(&self.view);
-        let ids = view.groups().flat_map(|(_, group)| &group.upstreams);
-        ids.filter_map(|id| {
-            let state = match view.health(id, now) {
-                Health::Draining => "draining",
-                Health::Suspect => "suspect",
-                Health::Live | Health::Gone => return None,
-            };
-            Some(UpstreamStatus {
-                upstream: id.to_string(),
-                state: state.into(),
-            })
-        })
-        .collect()
-    }
-
     /// Advances a query by one event under the lock of the limits.
     pub fn advance(&self, query: &mut Query, index: &str, event: Event) -> Vec<Action> {
         let index = self
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use base::ZoneName;
+use member::Health;
 use member::NodeState;
 use member::View;
 use schemars::JsonSchema;
@@ -11,6 +12,7 @@
 use serde::Serialize;
 
 use crate::node::Node;
+use crate::node::lock;
 
 /// Body of `GET /v1/status`.
 #[derive(Debug, Serialize, Deserialize, JsonSchema)]
@@ -84,6 +86,36 @@
 }
 
 impl Node {
+    /// Reports the state of the node as gauges.
+    pub fn set_gauges(&self) {
+        let age = self.stale(Instant::now()).unwrap_or_default();
+        self.metrics.gauge("requests.active", self.active() as u64);
+        self.metrics
+            .gauge("requests.queued", self.queues.queued() as u64);
+        self.metrics
+            .gauge("configuration.revision", self.revision());
+        self.metrics
+            .gauge("configuration.stale_ms", age.as_millis() as u64);
+    }
+
+    /// Lists the upstreams that take no new work, by what this node and its peers have seen.
+    pub fn troubled_upstreams(&self, now: Instant) -> Vec<UpstreamStatus> {
+        let view = lock(&self.view);
+        let ids = view.groups().flat_map(|(_, group)| &group.upstreams);
+        ids.filter_map(|id| {
+            let state = match view.health(id, now) {
+                Health::Draining => "draining",
+                Health::Suspect => "suspect",
+                Health::Live | Health::Gone => return None,
+            };
+            Some(UpstreamStatus {
+                upstream: id.to_string(),
+                state: state.into(),
+            })
+        })
+        .collect()
+    }
+
     /// Reports the state of this VM.
     pub fn status(&self) -> Status {
         let now = Instant::now();
--- a/crates/limpetwick/tests/processes.rs
+++ b/crates/limpetwick/tests/processes.rs
@@ -2,6 +2,9 @@
 
 mod fleet;
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
@@ -13,6 +16,16 @@
     answer["code"].as_u64().unwrap_or(0)
 }
 
+/// Starts a query over 45 shards at every entry VM but the first.
+fn start_exports(fleet: &Arc<Fleet>) -> JoinSet<Option<Value>> {
+    let mut calls = JoinSet::new();
+    for entry in 1..fleet.entries.len() {
+        let fleet = fleet.clone();
+        calls.spawn(async move { fleet.call(entry, "portal-export", "export", None).await });
+    }
+    calls
+}
+
 /// Guards against a planned stop that cuts off requests in progress.
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_answers_every_request() {
@@ -21,19 +34,19 @@
         .inject(&[], json!({ "fault": "slow", "factor": 10.0 }))
         .await;
     let mut calls = JoinSet::new();
-    let shared = std::sync::Arc::new(fleet);
+    let shared = Arc::new(fleet);
     for _ in 0..20 {
         let fleet = shared.clone();
         calls.spawn(async move { fleet.call(0, "advisers", "search", None).await });
     }
-    tokio::time::sleep(std::time::Duration::from_millis(60)).await;
+    tokio::time::sleep(Duration::from_millis(60)).await;
     shared.entries[0].process.signal(Signal::SIGTERM);
     let answers = calls.join_all().await;
     assert!(
         answers.iter().all(Option::is_some),
         "every caller has an answer"
     );
-    fleet = std::sync::Arc::into_inner(shared).expect("the calls have ended");
+    fleet = Arc::into_inner(shared).expect("the calls have ended");
     assert_eq!(fleet.entries[0].process.wait(), Some(0));
 }
 
@@ -46,19 +59,15 @@
     fleet
         .inject(&[], json!({ "fault": "slow", "factor": 250.0 }))
         .await;
-    let fleet = std::sync::Arc::new(fleet);
-    let mut calls = JoinSet::new();
-    for entry in 1..6 {
-        let fleet = fleet.clone();
-        calls.spawn(async move { fleet.call(entry, "portal-export", "export", None).await });
-    }
-    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    let fleet = Arc::new(fleet);
+    let calls = start_exports(&fleet);
+    tokio::time::sleep(Duration::from_millis(100)).await;
     fleet.entries[0].process.signal(Signal::SIGTERM);
     for answer in calls.join_all().await {
         let answer = answer.expect("every caller has an answer");
         assert_eq!(answer["explanation"]["lost"], 0, "{answer}");
     }
-    let mut fleet = std::sync::Arc::into_inner(fleet).expect("the calls have ended");
+    let mut fleet = Arc::into_inner(fleet).expect("the calls have ended");
     assert_eq!(fleet.entries[0].process.wait(), Some(0));
 }
 
@@ -69,13 +78,9 @@
     fleet
         .inject(&[], json!({ "fault": "slow", "factor": 10.0 }))
         .await;
-    let fleet = std::sync::Arc::new(fleet);
-    let mut calls = JoinSet::new();
-    for entry in 1..6 {
-        let fleet = fleet.clone();
-        calls.spawn(async move { fleet.call(entry, "portal-export", "export", None).await });
-    }
-    tokio::time::sleep(std::time::Duration::from_millis(40)).await;
+    let fleet = Arc::new(fleet);
+    let calls = start_exports(&fleet);
+    tokio::time::sleep(Duration::from_millis(40)).await;
     fleet.entries[0].process.signal(Signal::SIGKILL);
     for answer in calls.join_all().await {
         let answer = answer.expect("every caller has an answer");
@@ -112,7 +117,7 @@
         .await;
     let first = fleet.call(0, "instalments", "post-instalment", Some("k-kill"));
     let kill = async {
-        tokio::time::sleep(std::time::Duration::from_millis(40)).await;
+        tokio::time::sleep(Duration::from_millis(40)).await;
         fleet.entries[0].process.signal(Signal::SIGKILL);
     };
     let (first, ()) = tokio::join!(first, kill);
