entry, query: tell a refused connection from a lost reply

With one zone's servers stopped, 20 of 40 searches ended with 400 or 401 although two replicas of every shard were up: a server that accepts and closes a connection at once looked like one that had taken the request, so each such attempt needed one of a few retry tokens. A new connection now carries a health check before its first request, and an attempt whose connection was refused is replaced without a token while another replica is left, because it did no work.

Each query still tries the stopped servers, which the gate does not pause for refused connections.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -189,10 +189,8 @@
         Ok(Ready { host, connection })
     }
 
-    /// Takes a connection that has just carried a health check.
-    ///
-    /// A server at its connection limit closes a new connection at once, and one that restarts closes idle ones. A
-    /// request written to such a connection could not be told apart from one that was run.
+    /// Takes a connection that has just carried a health check, because a server that restarts closes idle connections
+    /// too.
     pub async fn prepare_verified(
         &self,
         upstream: &Upstream,
@@ -200,22 +198,7 @@
         deadline: Instant,
     ) -> Result<Ready, CallError> {
         let mut ready = self.prepare(upstream, share, deadline).await?;
-        let check = async {
-            let mut probe = Request::new(Full::new(Bytes::new()));
-            *probe.uri_mut() = http::Uri::from_static("/healthz");
-            let response = ready
-                .connection
-                .send_request(probe)
-                .await
-                .map_err(|_| CallError::Refused)?;
-            read_reply(response).await.map_err(|_| CallError::Refused)?;
-            ready
-                .connection
-                .ready()
-                .await
-                .map_err(|_| CallError::Refused)
-        };
-        tokio::time::timeout_at(deadline.into(), check)
+        tokio::time::timeout_at(deadline.into(), verify(&mut ready.connection))
             .await
             .unwrap_or(Err(CallError::Unreachable))?;
         Ok(ready)
@@ -298,12 +281,15 @@
 }
 
 /// Opens a connection; a task drives it until it closes, and only then its slot is free again.
+///
+/// The connection first carries a health check. A server at its connection limit closes a new connection at once, and a
+/// request written to it could not be told apart from one that was run.
 async fn connect(slot: Slot, upstream: &Upstream) -> Result<Connection, CallError> {
     let stream = TcpStream::connect(upstream.addr)
         .await
         .map_err(|_| CallError::Unreachable)?;
     let _ = stream.set_nodelay(true);
-    let (sender, driver) = http1::handshake(TokioIo::new(stream))
+    let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| CallError::Refused)?;
     tokio::spawn(async move {
@@ -312,9 +298,22 @@
         }
         drop(slot);
     });
+    verify(&mut sender).await?;
     Ok(sender)
 }
 
+/// Sends a health check and reads its reply.
+async fn verify(connection: &mut Connection) -> Result<(), CallError> {
+    let mut probe = Request::new(Full::new(Bytes::new()));
+    *probe.uri_mut() = http::Uri::from_static("/healthz");
+    let response = connection
+        .send_request(probe)
+        .await
+        .map_err(|_| CallError::Refused)?;
+    read_reply(response).await.map_err(|_| CallError::Refused)?;
+    connection.ready().await.map_err(|_| CallError::Refused)
+}
+
 async fn read_reply(response: Response<Incoming>) -> Result<Reply, CallError> {
     let status = response.status();
     let header = |name| {
--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -167,3 +167,29 @@
     );
     rig.stop().await.unwrap();
 }
+
+/// Guards against shards that are given up although replicas in other zones serve them, because each refused connection
+/// takes a retry token.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_zone_leaves_full_coverage() {
+    let rig = Rig::start(shrink(build_skiasis(SEED), "offcut-desk", 55), 3, SEED)
+        .await
+        .unwrap();
+    let upstreams = &rig.deployment.indexes[0].state.upstreams;
+    for upstream in upstreams
+        .iter()
+        .filter(|upstream| upstream.zone == "attiki")
+    {
+        assert!(rig.fleet.inject(&upstream.id, Fault::Stop));
+    }
+    let http = make_client();
+    for entry in 0..rig.entries.len() {
+        let answer = search(&http, &rig, entry, "offcuts").await;
+        assert_eq!(
+            answer["code"],
+            u64::from(Code::Answered.number()),
+            "{answer}"
+        );
+    }
+    rig.stop().await.unwrap();
+}
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -330,12 +330,12 @@
         let plan = &self.plan;
         let safe = plan.repeatable || (not_run && plan.stale.is_none());
         let usable = !state.usable(snapshot.version, env.limits, now).is_empty();
-        // A server that does not hold the version, or that cannot be reached, does no work for the attempt. As long as
+        // A server that does not hold the version, or that no connection reaches, does no work for the attempt. As long as
         // another replica is left, replacing it adds no load, and the tokens are kept for failures that do.
         let untried = !state.untried(snapshot.version, env.limits, now).is_empty();
         let rejected = match reason {
             MissingReason::Retired => true,
-            MissingReason::NoReplica => not_run && untried,
+            MissingReason::NoReplica | MissingReason::Limited => not_run && untried,
             _ => false,
         };
         let funded = |limits: &mut Limits| {
--- a/crates/query/tests/rules.rs
+++ b/crates/query/tests/rules.rs
@@ -134,8 +134,8 @@
 }
 
 /// Guards against a retry that could run a request twice, against one beyond the budget, and against giving up a shard
-/// that another replica can serve. The codes are those with and without a retry. A rejected version and an unreachable
-/// server need no token, because the server did no work.
+/// that another replica can serve. The codes are those with and without a retry. A rejected version, a refused connection
+/// and an unreachable server need no token, because the server did no work.
 #[rstest]
 #[case::read_shed(true, false, Failure::NotRun, Code::Answered, Code::ShedEverywhere)]
 #[case::read_refused(true, false, Failure::Refused, Code::Answered, Code::Overloaded)]
@@ -168,7 +168,10 @@
         plan.stale = stale.then_some(ms(9_000));
         plan.tuning.retry = retry;
     });
-    let rejected = matches!(failure, Failure::Retired(_) | Failure::Unreachable);
+    let rejected = matches!(
+        failure,
+        Failure::Retired(_) | Failure::Refused | Failure::Unreachable
+    );
     run.fail(&mut node, 0, failure);
     let code = if retry && (tokens || rejected) {
         with_retry
