--- a/crates/entry/src/scatter.rs
+++ b/crates/entry/src/scatter.rs
@@ -43,8 +43,9 @@
 
 /// Sends the attempts of one group to its holder and reports their ends to the query.
 ///
-/// When the first holder cannot be reached nothing was sent, and the next one is asked. A stream that breaks later
-/// leaves its attempts lost, because the holder may have sent them.
+/// When the first holder cannot be reached, the next one is asked. Should the connection break between the request and
+/// the start of the stream, both may send the attempts; only plain reads go through holders. A stream that breaks later
+/// leaves its attempts lost.
 pub async fn send_group(shared: Arc<Shared>, holders: Arc<[Holder]>, attempts: Vec<Attempt>) {
     let Some(first) = attempts.first() else {
         return;
