wire: drop fields of the scatter messages that nothing reads

A scatter request carried an empty group name, and each result a queue time that was never set and an elapsed time that no receiver looked at. They were sent for every sub-request that goes through a holder. No fleet runs an older version, so that the numbers need not be reserved.

--- a/crates/entry/src/scatter.rs
+++ b/crates/entry/src/scatter.rs
@@ -105,7 +105,6 @@
         deadline_ms: deadline
             .saturating_duration_since(Instant::now())
             .as_millis() as u64,
-        group: String::new(),
         revision: plan.revision,
         attempts: Vec::new(),
     }
@@ -194,7 +193,6 @@
     attempt: wire::Attempt,
     results: UnboundedSender<Result<AttemptResult, Status>>,
 ) {
-    let started = Instant::now();
     let mut result = AttemptResult {
         attempt: attempt.id,
         query: group.query.to_vec().into(),
@@ -203,7 +201,6 @@
     };
     call_upstream(&group, &attempt, &mut result).await;
     result.upstream = attempt.upstream;
-    result.elapsed_ms = started.elapsed().as_millis() as u64;
     // The caller may be gone, and then nobody needs the result.
     let _ = results.send(Ok(result));
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -192,9 +192,6 @@
     /// Time left until the deadline when the message was sent.
     #[prost(uint64, tag = "8")]
     pub deadline_ms: u64,
-    /// Name of the group; a holder that does not hold it may still serve it.
-    #[prost(string, tag = "9")]
-    pub group: ::prost::alloc::string::String,
     /// Configuration revision that the query is bound to.
     #[prost(uint64, tag = "10")]
     pub revision: u64,
@@ -234,12 +231,6 @@
     pub holder: ::prost::alloc::string::String,
     #[prost(enumeration = "HeaderState", tag = "10")]
     pub state: i32,
-    /// Time that the attempt waited for a slot of the upstream.
-    #[prost(uint64, tag = "11")]
-    pub queue_ms: u64,
-    /// Time from the holder's send to the reply.
-    #[prost(uint64, tag = "12")]
-    pub elapsed_ms: u64,
     /// Index versions that the upstream holds.
     #[prost(uint64, repeated, tag = "13")]
     pub held: ::prost::alloc::vec::Vec<u64>,
