Serve the users' platform: gateway, platform adapter, deploy file

Change: query::Gather (one request, hedged, retried, judged), limit::pick_near and RepeatRule, the gateway crate around them, platform/ with names and formats, and docs/decisions/0005 with the design.

--- /dev/null
+++ b/crates/gateway/src/directory.rs
@@ -0,0 +1,246 @@
+//! The servers that are registered, and which of them may be sent to.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::NodeId;
+use base::ServiceName;
+use base::Upstream;
+use base::UpstreamId;
+use base::ZoneName;
+use limit::GateKey;
+use limit::Limits;
+use slotmap::SecondaryMap;
+
+use crate::Settings;
+use crate::Table;
+
+/// Unix milliseconds at which a server started; a server that starts again under its id has a later one.
+pub type Born = u64;
+
+/// Time after the return of the store within which servers whose entries lapsed meanwhile register again.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
+
+/// Nodes that share the connections of a server while their number isn't known.
+const ASSUMED_NODES: u32 = 16;
+
+/// Fewest connections that a node may use of a server.
+const MIN_SHARE: u32 = 2;
+
+/// What a server says of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Server {
+    /// Identifier, which it keeps over some restarts.
+    pub id: UpstreamId,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Address for requests.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// Start of this run of the server, if it says so.
+    pub born: Option<Born>,
+    /// Number of the report, which increases within one run.
+    pub report: u64,
+}
+
+impl Server {
+    /// Tells whether a report is older than this one, from an earlier run or sent earlier in this one.
+    fn outdates(&self, report: &Server) -> bool {
+        (report.born, report.report) < (self.born, self.report)
+    }
+
+    fn is_same_run(&self, other: &Server) -> bool {
+        self.born == other.born && self.addr == other.addr && self.service == other.service
+    }
+}
+
+/// Where a gate's requests go.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Endpoint {
+    /// Server that alone may run them.
+    pub id: UpstreamId,
+    /// Address for requests.
+    pub addr: SocketAddr,
+}
+
+/// What changed, for the caller to log and to close connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The server may be sent to from now on.
+    Added(GateKey),
+    /// The server gets no new requests from now on; the gate is gone.
+    Dropped(GateKey),
+    /// Nothing that matters for sending.
+    Same,
+    /// The report is older than what is known.
+    Stale,
+}
+
+/// The servers known to one node.
+#[derive(Debug)]
+pub struct Directory {
+    node: NodeId,
+    servers: HashMap<UpstreamId, (Server, Option<GateKey>)>,
+    replicas: HashMap<ServiceName, Vec<GateKey>>,
+    endpoints: SecondaryMap<GateKey, Endpoint>,
+    lapsing: HashMap<UpstreamId, Instant>,
+}
+
+impl Directory {
+    /// Creates a directory without servers.
+    pub fn new(node: NodeId) -> Directory {
+        Directory {
+            node,
+            servers: HashMap::new(),
+            replicas: HashMap::new(),
+            endpoints: SecondaryMap::new(),
+            lapsing: HashMap::new(),
+        }
+    }
+
+    /// Returns the servers of each service that may be sent to.
+    pub fn replicas(&self) -> &HashMap<ServiceName, Vec<GateKey>> {
+        &self.replicas
+    }
+
+    /// Returns where the requests of a gate go.
+    pub fn endpoint(&self, key: GateKey) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// Returns the number of servers that may be sent to.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Tells whether no server may be sent to.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    /// Returns the ids of all registered servers.
+    pub fn ids(&self) -> Vec<UpstreamId> {
+        self.servers.keys().cloned().collect()
+    }
+
+    /// Takes in what a server says of itself.
+    pub fn accept(
+        &mut self,
+        server: Server,
+        settings: &Settings,
+        table: Option<&Table>,
+        limits: &mut Limits,
+    ) -> Change {
+        debug_assert_eq!(self.node, settings.node);
+        self.lapsing.remove(&server.id);
+        let known = self.servers.get(&server.id);
+        if known.is_some_and(|(known, _)| known.outdates(&server)) {
+            return Change::Stale;
+        }
+        let current =
+            known.and_then(|(known, key)| key.map(|key| (known.is_same_run(&server), key)));
+        match current {
+            Some((true, _)) if !server.draining => {
+                let key = current.map(|(_, key)| key);
+                self.servers.insert(server.id.clone(), (server, key));
+                return Change::Same;
+            }
+            Some((_, key)) => self.drop_gate(&server.id, key, limits),
+            None if server.draining => {
+                self.servers.insert(server.id.clone(), (server, None));
+                return Change::Same;
+            }
+            None => {}
+        }
+        if server.draining {
+            let key = current.map(|(_, key)| key);
+            self.servers.insert(server.id.clone(), (server, None));
+            return key.map_or(Change::Same, Change::Dropped);
+        }
+        let key = self.add_gate(&server, settings, table, limits);
+        self.servers.insert(server.id.clone(), (server, Some(key)));
+        Change::Added(key)
+    }
+
+    /// Takes in that a server is no longer registered.
+    pub fn remove(&mut self, id: &UpstreamId, limits: &mut Limits) -> Change {
+        self.lapsing.remove(id);
+        match self.servers.remove(id) {
+            Some((_, Some(key))) => {
+                self.drop_gate(id, key, limits);
+                Change::Dropped(key)
+            }
+            Some((_, None)) | None => Change::Same,
+        }
+    }
+
+    /// Keeps a server whose entry lapsed while the store was away until it had the time to register again.
+    pub fn lapse(&mut self, id: &UpstreamId, now: Instant) {
+        if self.servers.contains_key(id) {
+            self.lapsing.entry(id.clone()).or_insert(now + RETURN_TIME);
+        }
+    }
+
+    /// Removes the servers that did not register again in time.
+    pub fn expire(&mut self, now: Instant, limits: &mut Limits) -> Vec<UpstreamId> {
+        let due: Vec<UpstreamId> = self
+            .lapsing
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &due {
+            self.remove(id, limits);
+        }
+        due
+    }
+
+    fn add_gate(
+        &mut self,
+        server: &Server,
+        settings: &Settings,
+        table: Option<&Table>,
+        limits: &mut Limits,
+    ) -> GateKey {
+        let connections = table
+            .and_then(|table| table.services.get(&server.service))
+            .map_or(u32::MAX, |service| service.connections);
+        let region = settings.regions.get(&server.zone).cloned();
+        let upstream = Upstream {
+            id: server.id.clone(),
+            addr: server.addr,
+            zone: server.zone.clone(),
+            region: region.unwrap_or_default(),
+            slots: server.slots,
+            connections,
+        };
+        let share = (connections / ASSUMED_NODES).max(MIN_SHARE);
+        let key = limits.set_upstream(&upstream, Some(share));
+        let endpoint = Endpoint {
+            id: server.id.clone(),
+            addr: server.addr,
+        };
+        self.endpoints.insert(key, endpoint);
+        self.replicas
+            .entry(server.service.clone())
+            .or_default()
+            .push(key);
+        key
+    }
+
+    fn drop_gate(&mut self, id: &UpstreamId, key: GateKey, limits: &mut Limits) {
+        limits.remove_upstream(id);
+        self.endpoints.remove(key);
+        for keys in self.replicas.values_mut() {
+            keys.retain(|other| *other != key);
+        }
+        self.replicas.retain(|_, keys| !keys.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ingress.rs
@@ -0,0 +1,124 @@
+//! Connections of callers, and of the balancer that asks whether this process is ready.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::node::Node;
+use crate::request::handle_request;
+
+/// Time for which a connection may be idle while no configuration says so.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+
+/// Bytes in the head of a request while no configuration says so.
+const FIRST_HEAD_BYTES: usize = 16_384;
+
+/// Least that hyper takes as the size of a buffer.
+const MIN_BUFFER_BYTES: usize = 8_192;
+
+/// Pause after an error of `accept`, such as a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts callers until the process ends; `closing` turns true when idle connections are to be closed.
+pub(crate) async fn serve_callers(
+    node: Rc<Node>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = Rc::clone(&node);
+                let closing = closing.clone();
+                tokio::task::spawn_local(serve_caller(node, stream, closing));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "ingress: accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(node: Rc<Node>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "ingress: no delay can't be set");
+    }
+    let bounds = node.state.borrow().table.as_ref().map(|table| table.bounds);
+    let idle = bounds.map_or(FIRST_IDLE, |bounds| bounds.idle_time.max(bounds.head_time));
+    let head = bounds.map_or(FIRST_HEAD_BYTES, |bounds| bounds.head_bytes);
+    let service = service_fn(|request| {
+        let node = Rc::clone(&node);
+        async move { Ok::<_, Infallible>(handle_request(node, request).await) }
+    });
+    node.callers.set(node.callers.get() + 1);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut is_closing = *closing.borrow();
+    if is_closing {
+        connection.as_mut().graceful_shutdown();
+    }
+    let result = loop {
+        tokio::select! {
+            result = connection.as_mut() => break result,
+            changed = closing.changed(), if !is_closing => {
+                is_closing = true;
+                if changed.is_ok() {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    };
+    node.callers.set(node.callers.get() - 1);
+    if let Err(error) = result {
+        log::debug!(error:% = error; "ingress: connection ended");
+    }
+}
+
+/// Answers the balancer's question whether this process takes new connections.
+pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "ready: accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|_| {
+                let mut answer = Response::new(Full::new(Bytes::new()));
+                if !node.is_ready() {
+                    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                }
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(FIRST_IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "ready: connection ended");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,44 @@
+//! The gateway: callers send plain HTTP requests, and each goes to one server or to one server of every shard.
+//!
+//! A request takes one way through the crate: `ingress` reads it, `request` finds its route in the [`Table`] and drives
+//! [`query::Gather`], `attempt` sends each sub-request over a connection of `pool`, and `merge` puts the parts together.
+//! `sync` follows the configuration and the [`Directory`] of servers in the platform's store. Names and formats of a
+//! platform come from outside, through [`Platform`]. See docs/decisions/0005-platform.md.
+
+mod attempt;
+mod directory;
+mod ingress;
+mod merge;
+mod node;
+mod platform;
+mod pool;
+mod request;
+mod run;
+mod settings;
+mod sync;
+mod table;
+
+pub use crate::directory::Born;
+pub use crate::directory::Change;
+pub use crate::directory::Directory;
+pub use crate::directory::Endpoint;
+pub use crate::directory::Server;
+pub use crate::merge::RECORD_BYTES;
+pub use crate::merge::merge_records;
+pub use crate::platform::Batch;
+pub use crate::platform::DecodeError;
+pub use crate::platform::Headers;
+pub use crate::platform::Kind;
+pub use crate::platform::Object;
+pub use crate::platform::Platform;
+pub use crate::platform::StoreVersion;
+pub use crate::platform::Value;
+pub use crate::run::StartError;
+pub use crate::run::run_gateway;
+pub use crate::settings::Settings;
+pub use crate::table::Bounds;
+pub use crate::table::Route;
+pub use crate::table::RouteName;
+pub use crate::table::Service;
+pub use crate::table::Table;
+pub use crate::table::Target;
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,142 @@
+//! What the tasks of one process share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::AttemptId;
+use limit::Latency;
+use limit::Limits;
+use limit::Tuning;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::Directory;
+use crate::Headers;
+use crate::Platform;
+use crate::Route;
+use crate::RouteName;
+use crate::Settings;
+use crate::Table;
+use crate::pool::Pool;
+
+/// Part of the objective that the usual reply time is taken for while few replies were seen.
+const FIRST_USUAL: u32 = 6;
+
+/// Multiple of the usual reply time after which a second server is asked.
+const HEDGE_FACTOR: u32 = 2;
+
+/// Shortest time after which a second server is asked, so that the jitter of the VM itself causes no hedge.
+const MIN_HEDGE: Duration = Duration::from_millis(8);
+
+/// State of the process that its tasks read and change; it is never borrowed across an await.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    pub(crate) table: Option<Rc<Table>>,
+    pub(crate) directory: Directory,
+    pub(crate) limits: Limits,
+    pub(crate) pool: Pool,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) next_attempt: AttemptId,
+    pub(crate) reply_times: HashMap<RouteName, Latency>,
+    /// Longest deadline that callers gave on each route.
+    pub(crate) deadlines: HashMap<RouteName, Duration>,
+    pub(crate) has_servers: bool,
+}
+
+/// One gateway process.
+pub(crate) struct Node {
+    pub(crate) state: RefCell<State>,
+    pub(crate) headers: Headers,
+    pub(crate) platform: Box<dyn Platform>,
+    pub(crate) stopping: Cell<bool>,
+    /// Connections of callers that are open.
+    pub(crate) callers: Cell<usize>,
+}
+
+impl Node {
+    pub(crate) fn new(settings: Settings, platform: Box<dyn Platform>, seed: u64) -> Node {
+        let mut limits = Limits::new(
+            settings.zone.clone(),
+            settings.region.clone(),
+            Tuning::default(),
+        );
+        limits.set_repeat_rule(settings.repeats);
+        let state = State {
+            directory: Directory::new(settings.node.clone()),
+            settings,
+            table: None,
+            limits,
+            pool: Pool::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            next_attempt: 0,
+            reply_times: HashMap::new(),
+            deadlines: HashMap::new(),
+            has_servers: false,
+        };
+        Node {
+            state: RefCell::new(state),
+            headers: platform.headers(),
+            platform,
+            stopping: Cell::new(false),
+            callers: Cell::new(0),
+        }
+    }
+
+    /// Tells whether the balancer should send new connections here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        !self.stopping.get() && state.table.is_some() && state.has_servers
+    }
+}
+
+impl State {
+    /// Returns the usual reply time of a near server on a route.
+    pub(crate) fn usual_time(&self, route: &Route) -> Duration {
+        self.reply_times
+            .get(&route.name)
+            .and_then(|times| times.quantile(0.5))
+            .unwrap_or(route.objective / FIRST_USUAL)
+    }
+
+    /// Returns the time without a reply after which a second server is asked.
+    pub(crate) fn hedge_time(&self, route: &Route) -> Duration {
+        let late = self.usual_time(route) * HEDGE_FACTOR;
+        late.max(MIN_HEDGE)
+            .min((route.objective / 2).max(MIN_HEDGE))
+    }
+
+    /// Returns the time that a caller spent on earlier attempts of its request.
+    ///
+    /// Callers give the time that they have left; the longest that was seen on a route is that of a first attempt.
+    pub(crate) fn time_spent(&mut self, route: &Route, left: Duration) -> Duration {
+        let longest = self.deadlines.entry(route.name.clone()).or_insert(left);
+        *longest = (*longest).max(left);
+        *longest - left
+    }
+
+    /// Forgets what was learned of routes that no longer exist.
+    pub(crate) fn set_table(&mut self, table: Table) {
+        let names: Vec<RouteName> = table.route_names().cloned().collect();
+        self.reply_times.retain(|name, _| names.contains(name));
+        self.deadlines.retain(|name, _| names.contains(name));
+        self.limits
+            .retain_services(|service| table.services.contains_key(service));
+        self.table = Some(Rc::new(table));
+    }
+
+    pub(crate) fn note_reply_time(&mut self, route: &Route, time: Duration) {
+        self.reply_times
+            .entry(route.name.clone())
+            .or_default()
+            .record(time);
+    }
+
+    pub(crate) fn sweep(&mut self, now: Instant) {
+        self.pool.sweep(now);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,138 @@
+//! Start and stop of a gateway process.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Code;
+use snafu::ResultExt;
+use snafu::Snafu;
+use store::Client;
+use store::ClientOptions;
+use store::GovernorOptions;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::Kind;
+use crate::Platform;
+use crate::Settings;
+use crate::ingress::serve_callers;
+use crate::ingress::serve_ready;
+use crate::node::Node;
+use crate::sync::follow;
+use crate::sync::sweep;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 512;
+
+/// Time from SIGTERM until idle connections are closed; the balancer needs two checks, a second apart, to notice.
+const NOTICE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Time before the end of the grace period at which the process ends even with requests in progress.
+const END_MARGIN: Duration = Duration::from_millis(400);
+
+/// How often a stopping process looks whether every connection is closed.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Time after which a call to the store without an answer is given up.
+const STORE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest pause between calls to a store that fails; a configuration has to be in force soon after its return.
+const STORE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Calls a second to the store; a change of the servers or of the configuration takes one each.
+const STORE_RATE: f64 = 8.0;
+
+/// Calls to the store that may be made at once, for a list in pages.
+const STORE_BURST: u32 = 40;
+
+/// Why a gateway can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[snafu(display("can't listen on {addr}: {source} (code {})", Code::AddressInUse.number()))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// Runs a gateway until `stop` completes, and ends the requests in progress within the grace period.
+///
+/// # Errors
+///
+/// Returns which address can't be listened on.
+pub async fn run_gateway(
+    settings: Settings,
+    platform: Box<dyn Platform>,
+    seed: u64,
+    stop: impl Future<Output = ()>,
+) -> Result<(), StartError> {
+    let local = LocalSet::new();
+    local.run_until(serve(settings, platform, seed, stop)).await
+}
+
+async fn serve(
+    settings: Settings,
+    platform: Box<dyn Platform>,
+    seed: u64,
+    stop: impl Future<Output = ()>,
+) -> Result<(), StartError> {
+    let front = listen(settings.front).context(ListenSnafu {
+        addr: settings.front,
+    })?;
+    let ready = listen(settings.ready).context(ListenSnafu {
+        addr: settings.ready,
+    })?;
+    let grace = settings.grace;
+    let client = Client::new(ClientOptions {
+        platform: settings.store,
+        timeout: STORE_TIMEOUT,
+        governor: GovernorOptions {
+            rate: STORE_RATE,
+            burst: STORE_BURST,
+            max_delay: STORE_PAUSE,
+            ..GovernorOptions::default()
+        },
+        seed,
+    });
+    log::info!(node = settings.node.as_str(), zone = settings.zone.as_str(), front:% = settings.front; "gateway: started");
+    let node = Rc::new(Node::new(settings, platform, seed));
+    let (close, closing) = watch::channel(false);
+    tokio::task::spawn_local(serve_callers(Rc::clone(&node), front, closing));
+    tokio::task::spawn_local(serve_ready(Rc::clone(&node), ready));
+    tokio::task::spawn_local(sweep(Rc::clone(&node)));
+    for kind in [Kind::Configuration, Kind::Servers] {
+        tokio::task::spawn_local(follow(Rc::clone(&node), client.clone(), kind));
+    }
+    stop.await;
+    drain(&node, &close, grace).await;
+    Ok(())
+}
+
+/// Lets the balancer notice, then closes idle connections and waits for the requests in progress.
+async fn drain(node: &Node, close: &watch::Sender<bool>, grace: Duration) {
+    let began = Instant::now();
+    node.stopping.set(true);
+    log::info!(callers = node.callers.get(); "gateway: stopping");
+    tokio::time::sleep(NOTICE_TIME.min(grace / 2)).await;
+    // The receivers are gone when no connection is left.
+    let _ = close.send(true);
+    let end = began + grace.saturating_sub(END_MARGIN);
+    while node.callers.get() > 0 && Instant::now() < end {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    log::info!(callers = node.callers.get(); "gateway: stopped");
+}
+
+fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,33 @@
+//! What a process is told at its start.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::NodeId;
+use base::RegionName;
+use base::ZoneName;
+use limit::RepeatRule;
+
+/// Settings of one gateway process; docs/settings.md lists where each comes from.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Name of the VM, for log lines.
+    pub node: NodeId,
+    /// Availability zone of the VM.
+    pub zone: ZoneName,
+    /// Region of the VM.
+    pub region: RegionName,
+    /// Region of each availability zone.
+    pub regions: HashMap<ZoneName, RegionName>,
+    /// Address on which callers connect.
+    pub front: SocketAddr,
+    /// Address on which the balancer asks whether the process takes new connections.
+    pub ready: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// Bound of repeated sub-requests over all VMs.
+    pub repeats: RepeatRule,
+}
--- /dev/null
+++ b/crates/gateway/src/table.rs
@@ -0,0 +1,135 @@
+//! The routes and services of one configuration.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Revision;
+use base::ServiceName;
+use compact_str::CompactString;
+
+/// Names a route within a configuration.
+pub type RouteName = CompactString;
+
+/// Where the requests of a route go.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Target {
+    /// To one server of one of these services, in proportion to the weights.
+    Services(Vec<(ServiceName, f64)>),
+    /// To one server of each of these services.
+    Shards {
+        /// The services, each of which holds one shard.
+        services: Rc<[ServiceName]>,
+        /// Share of the shards without which there is no success.
+        least: f64,
+        /// Records in an answer.
+        top: usize,
+    },
+}
+
+/// How the requests of one host and path prefix are handled.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Name of the route, for log lines.
+    pub name: RouteName,
+    /// Host, in lower case.
+    pub host: CompactString,
+    /// Prefix of the path; it begins and ends with a slash.
+    pub prefix: CompactString,
+    /// Where its requests go.
+    pub target: Target,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is worth the most.
+    pub objective: Duration,
+    /// Servers of one service on which a request may run.
+    pub max_runs: u32,
+}
+
+/// What is known of a service from the configuration.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Service {
+    /// Connections that one of its servers accepts from all VMs together.
+    pub connections: u32,
+}
+
+/// Bounds for what callers send.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Bytes in the head of a request.
+    pub head_bytes: usize,
+    /// Bytes in the body of a request.
+    pub body_bytes: usize,
+    /// Time in which a head must arrive.
+    pub head_time: Duration,
+    /// Time for which a connection may be idle.
+    pub idle_time: Duration,
+}
+
+/// One version of the configuration, ready for lookups.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Table {
+    /// Version of the configuration.
+    pub revision: Revision,
+    /// Services by name.
+    pub services: HashMap<ServiceName, Service>,
+    /// Bounds for what callers send.
+    pub bounds: Bounds,
+    hosts: HashMap<CompactString, Vec<Rc<Route>>>,
+}
+
+impl Table {
+    /// Builds the lookup table of a configuration.
+    pub fn new(
+        revision: Revision,
+        routes: Vec<Route>,
+        services: HashMap<ServiceName, Service>,
+        bounds: Bounds,
+    ) -> Table {
+        let mut hosts: HashMap<CompactString, Vec<Rc<Route>>> = HashMap::new();
+        for route in routes {
+            hosts
+                .entry(route.host.clone())
+                .or_default()
+                .push(Rc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Table {
+            revision,
+            services,
+            bounds,
+            hosts,
+        }
+    }
+
+    /// Finds the route of a host with the longest prefix of a path.
+    ///
+    /// A port after the host doesn't count, and neither does the case of the host.
+    pub fn find(&self, host: &str, path: &str) -> Option<Rc<Route>> {
+        let name = host.split_once(':').map_or(host, |(name, _)| name);
+        let routes = self.hosts.get(name.to_ascii_lowercase().as_str())?;
+        let route = routes
+            .iter()
+            .find(|route| path.starts_with(route.prefix.as_str()))?;
+        Some(Rc::clone(route))
+    }
+
+    /// Returns the names of all routes.
+    pub fn route_names(&self) -> impl Iterator<Item = &RouteName> {
+        self.hosts.values().flatten().map(|route| &route.name)
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Tells whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -46,6 +46,12 @@
 /// Weight of a new reply time in the moving mean.
 const MEAN_WEIGHT: f32 = 0.2;
 
+/// Time after which what was seen of an upstream counts half in [`Gate::fading_mean`] and [`Gate::trouble`].
+const FADE: Duration = Duration::from_secs(2);
+
+/// Weight of a new attempt in the recent share of attempts that were shed or failed.
+const TROUBLE_WEIGHT: f32 = 0.2;
+
 /// Time without a reply after which the mean counts half, so that a slow upstream is tried again.
 const FORGET: Duration = Duration::from_secs(1);
 
@@ -115,6 +121,9 @@
     held_sent: Option<Instant>,
     heard: Option<Instant>,
     waiters: VecDeque<QueryId>,
+    pending: Vec<Instant>,
+    trouble: f32,
+    troubled: Option<Instant>,
 }
 
 impl Gate {
@@ -141,6 +150,9 @@
             held_sent: None,
             heard: None,
             waiters: VecDeque::new(),
+            pending: Vec::new(),
+            trouble: 0.0,
+            troubled: None,
         }
     }
 
@@ -278,6 +290,7 @@
             *cut += REGROW * steps as u32;
         }
         self.in_flight = self.in_flight.saturating_add(1);
+        self.pending.push(now);
         if self.in_flight() >= self.concurrency(tuning, now) {
             self.queueing.note_reached();
         }
@@ -294,6 +307,10 @@
         now: Instant,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(at) = self.pending.iter().position(|pending| *pending == sent) {
+            self.pending.swap_remove(at);
+        }
+        self.note_trouble(ending, now);
         if trial {
             self.trial = false;
         }
@@ -363,8 +380,55 @@
         let Some(last) = self.last_reply else {
             return 0.0;
         };
-        let idle = now.saturating_duration_since(last).as_secs_f32() / FORGET.as_secs_f32();
-        self.mean_us * 0.5_f32.powf(idle)
+        self.mean_us * halve_each(FORGET, now.saturating_duration_since(last))
+    }
+
+    /// Returns the moving mean of the reply time as far as it is still current, or `None` before the first reply.
+    ///
+    /// An old mean approaches `usual`, so that an upstream that was slow is tried again.
+    pub(crate) fn fading_mean(&self, usual: Duration, now: Instant) -> Option<Duration> {
+        let age = now.saturating_duration_since(self.last_reply?);
+        let weight = halve_each(FADE, age);
+        let usual_us = usual.as_micros() as f32;
+        let mean_us = usual_us + (self.mean_us - usual_us) * weight;
+        Some(Duration::from_micros(mean_us as u64))
+    }
+
+    /// Returns the recent share of attempts that were shed or failed, which fades with time.
+    pub(crate) fn trouble(&self, now: Instant) -> f32 {
+        let Some(since) = self.troubled else {
+            return 0.0;
+        };
+        self.trouble * halve_each(FADE, now.saturating_duration_since(since))
+    }
+
+    /// Tells whether an attempt is awaited for longer than `usual` and nothing came back since it was sent.
+    ///
+    /// A server that stands still shows in this before any reply time does.
+    pub(crate) fn is_stalled(&self, usual: Duration, now: Instant) -> bool {
+        self.pending
+            .iter()
+            .any(|&sent| now.saturating_duration_since(sent) > usual && self.is_unheard(sent))
+    }
+
+    /// Returns the requests that the server runs at the same time.
+    pub(crate) fn slots(&self) -> u32 {
+        self.queueing.slots()
+    }
+
+    pub(crate) fn distance(&self) -> Distance {
+        self.distance
+    }
+
+    fn note_trouble(&mut self, ending: Ending, now: Instant) {
+        let sample = match ending {
+            Ending::Replied => 0.0,
+            Ending::Shed | Ending::Refused | Ending::Failed => 1.0,
+            Ending::Rejected | Ending::Cancelled => return,
+        };
+        let recent = self.trouble(now);
+        self.trouble = recent + TROUBLE_WEIGHT * (sample - recent);
+        self.troubled = Some(now);
     }
 
     fn note_mean(&mut self, time: Duration, now: Instant) {
@@ -457,6 +521,10 @@
     }
 }
 
+fn halve_each(half: Duration, age: Duration) -> f32 {
+    0.5_f32.powf(age.as_secs_f32() / half.as_secs_f32())
+}
+
 fn saturate(value: u32) -> u16 {
     u16::try_from(value).unwrap_or(u16::MAX)
 }
--- a/crates/limit/src/latency.rs
+++ b/crates/limit/src/latency.rs
@@ -21,20 +21,28 @@
 ///
 /// A histogram of `hdrhistogram` neither forgets nor fits: at one significant digit it takes about three times as much.
 #[derive(Debug, Clone)]
-pub(crate) struct Latency {
+pub struct Latency {
     counts: [u16; BUCKETS],
     total: u32,
 }
 
+impl Default for Latency {
+    fn default() -> Latency {
+        Latency::new()
+    }
+}
+
 impl Latency {
-    pub(crate) fn new() -> Latency {
+    /// Creates an empty histogram.
+    pub fn new() -> Latency {
         Latency {
             counts: [0; BUCKETS],
             total: 0,
         }
     }
 
-    pub(crate) fn record(&mut self, time: Duration) {
+    /// Adds a reply time.
+    pub fn record(&mut self, time: Duration) {
         if self.total >= HALVE_AT {
             self.halve();
         }
@@ -43,7 +51,7 @@
     }
 
     /// Returns the upper edge of the bucket that contains the quantile, or `None` with too few samples.
-    pub(crate) fn quantile(&self, quantile: f64) -> Option<Duration> {
+    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
         if self.total < ENOUGH {
             return None;
         }
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -25,6 +25,8 @@
 use crate::Gate;
 use crate::Tuning;
 use crate::budget::Reserve;
+use crate::repeat::RepeatBudget;
+use crate::repeat::RepeatRule;
 
 /// Part of a server's connections that no share uses, in percent.
 ///
@@ -72,6 +74,8 @@
     keys: HashMap<UpstreamId, GateKey>,
     budgets: BTreeMap<ServiceName, Budget>,
     reserve: Reserve,
+    repeat_rule: Option<RepeatRule>,
+    repeats: BTreeMap<ServiceName, RepeatBudget>,
     freed: VecDeque<GateKey>,
 }
 
@@ -86,6 +90,8 @@
             keys: HashMap::new(),
             budgets: BTreeMap::new(),
             reserve: Reserve::default(),
+            repeat_rule: None,
+            repeats: BTreeMap::new(),
             freed: VecDeque::new(),
         }
     }
@@ -132,6 +138,13 @@
         self.keys.retain(|_, key| gates.contains_key(*key));
     }
 
+    /// Removes one upstream; permits that it gave are then ignored.
+    pub fn remove_upstream(&mut self, id: &UpstreamId) {
+        if let Some(key) = self.keys.remove(id) {
+            self.gates.remove(key);
+        }
+    }
+
     /// Looks up the gate of an upstream.
     pub fn key(&self, upstream: &UpstreamId) -> Option<GateKey> {
         self.keys.get(upstream).copied()
@@ -313,9 +326,41 @@
         !self.tuning.budget || self.budget_mut(service).take_retry()
     }
 
+    /// Sets the bound of repeats for every service; without one, repeats are not bounded here.
+    pub fn set_repeat_rule(&mut self, rule: RepeatRule) {
+        self.repeat_rule = Some(rule);
+    }
+
+    /// Credits a service for one request of a caller.
+    pub fn earn_repeat(&mut self, service: &ServiceName) {
+        let Some(rule) = self.repeat_rule else {
+            return;
+        };
+        match self.repeats.get_mut(service) {
+            Some(budget) => budget.earn(&rule),
+            None => {
+                self.repeats
+                    .insert(service.clone(), RepeatBudget::full(&rule));
+            }
+        }
+    }
+
+    /// Takes the token for one repeated sub-request of a service, if more than `reserve` of the tokens are left.
+    pub fn take_repeat(&mut self, service: &ServiceName, reserve: f64) -> bool {
+        let Some(rule) = self.repeat_rule else {
+            return true;
+        };
+        let budget = self
+            .repeats
+            .entry(service.clone())
+            .or_insert_with(|| RepeatBudget::full(&rule));
+        budget.take(reserve, &rule)
+    }
+
     /// Removes the budgets of services that are no longer declared.
     pub fn retain_services(&mut self, mut keep: impl FnMut(&ServiceName) -> bool) {
         self.budgets.retain(|service, _| keep(service));
+        self.repeats.retain(|service, _| keep(service));
     }
 
     fn budget_mut(&mut self, service: &ServiceName) -> &mut Budget {
--- a/crates/limit/src/pick.rs
+++ b/crates/limit/src/pick.rs
@@ -8,12 +8,8 @@
 use crate::Distance;
 use crate::GateKey;
 use crate::Limits;
-
-/// Added to the expected time of a replica in another zone of the region, in microseconds: a round trip.
-const REGION_US: f32 = 2_000.0;
-
-/// Added to the expected time of a replica in another region, in microseconds: a round trip.
-const FAR_US: f32 = 24_000.0;
+use crate::near::FAR_TRIP;
+use crate::near::REGION_TRIP;
 
 impl Limits {
     /// Chooses the replica for one attempt among `candidates`.
@@ -55,8 +51,8 @@
     fn distant_us(&self, key: GateKey, now: Instant) -> f32 {
         let way = match self.gates[key].distance {
             Distance::Zone => 0.0,
-            Distance::Region => REGION_US,
-            Distance::Far => FAR_US,
+            Distance::Region => REGION_TRIP.as_micros() as f32,
+            Distance::Far => FAR_TRIP.as_micros() as f32,
         };
         self.expected_us(key, now) + way
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -231,6 +231,18 @@
         parse_body(&expect_ok(reply)?)
     }
 
+    /// Sends a read of the platform's own dialect and returns the body, whatever its format.
+    ///
+    /// `wait` is the time that the platform may hold the answer back, besides the timeout of every call.
+    pub async fn read(&self, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
+        let ticket = self.admit()?;
+        let timeout = self.shared.timeout + wait;
+        let reply = self
+            .call(ticket, Method::GET, path, Bytes::new(), timeout)
+            .await?;
+        expect_ok(reply)
+    }
+
     /// Reads the platform's list of VMs, which lags.
     pub async fn list_vms(&self) -> Result<Vec<Vm>, StoreError> {
         let ticket = self.admit()?;
