gateway: one gateway of each zone follows the store and passes changes on

Ruled out: serializable reads for changes (seconds old, config_apply_ms is 3 s); long waits with TCP keep-alive alone (a store that is silent keeps its connections).

Change: gateways register (kind gateways), follow the first of their zone that answers, and go to the store at once when it is silent or twice unsure. Calls that fail are repeated after 0.1 to 1.6 s. The number of VMs now sets each one's part of the repeats and connections.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use base::NodeId;
 use base::ServiceName;
 use base::Upstream;
 use base::UpstreamId;
@@ -24,12 +23,15 @@
 /// Time after the return of the store within which servers whose entries lapsed meanwhile register again.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
-/// Nodes that share the connections of a server while their number isn't known.
-const ASSUMED_NODES: u32 = 16;
+/// Nodes of the fleet while their number isn't known.
+pub const ASSUMED_NODES: u32 = 18;
 
 /// Fewest connections that a node may use of a server.
 const MIN_SHARE: u32 = 2;
 
+/// Part of a server's connections, in percent, that the nodes of its own region share out.
+const REGION_PERCENT: u32 = 70;
+
 /// What a server says of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Server {
@@ -85,27 +87,26 @@
 }
 
 /// The servers known to one node.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Directory {
-    node: NodeId,
     servers: HashMap<UpstreamId, (Server, Option<GateKey>)>,
     displaced: HashSet<UpstreamId>,
     replicas: HashMap<ServiceName, Vec<GateKey>>,
     endpoints: SecondaryMap<GateKey, Endpoint>,
     lapsing: HashMap<UpstreamId, Instant>,
+    /// Nodes that share the servers of each zone.
+    nodes: HashMap<ZoneName, u32>,
 }
 
 impl Directory {
     /// Creates a directory without servers.
-    pub fn new(node: NodeId) -> Directory {
-        Directory {
-            node,
-            servers: HashMap::new(),
-            displaced: HashSet::new(),
-            replicas: HashMap::new(),
-            endpoints: SecondaryMap::new(),
-            lapsing: HashMap::new(),
-        }
+    pub fn new() -> Directory {
+        Directory::default()
+    }
+
+    /// Sets how many nodes share the servers of each zone; servers that are known already keep their share.
+    pub fn set_nodes(&mut self, nodes: HashMap<ZoneName, u32>) {
+        self.nodes = nodes;
     }
 
     /// Returns the servers of each service that may be sent to.
@@ -141,7 +142,6 @@
         table: Option<&Table>,
         limits: &mut Limits,
     ) -> Change {
-        debug_assert_eq!(self.node, settings.node);
         self.lapsing.remove(&server.id);
         let known = self.servers.get(&server.id);
         if known.is_some_and(|(known, _)| known.outdates(&server)) {
@@ -245,7 +245,7 @@
             slots: server.slots,
             connections,
         };
-        let share = (connections / ASSUMED_NODES).max(MIN_SHARE);
+        let share = self.share(connections, &server.zone);
         let key = limits.set_upstream(&upstream, Some(share));
         let endpoint = Endpoint {
             id: server.id.clone(),
@@ -259,6 +259,14 @@
         key
     }
 
+    /// Returns the connections that this node may use of a server: near ones are used all the time, far ones seldom.
+    fn share(&self, connections: u32, zone: &ZoneName) -> u32 {
+        let nodes = self.nodes.get(zone).copied().unwrap_or(ASSUMED_NODES);
+        let part = u64::from(connections) * u64::from(REGION_PERCENT) / 100;
+        let share = part / u64::from(nodes.max(1));
+        u32::try_from(share).unwrap_or(u32::MAX).max(MIN_SHARE)
+    }
+
     fn drop_gate(&mut self, id: &UpstreamId, key: GateKey, limits: &mut Limits) {
         limits.remove_upstream(id);
         self.endpoints.remove(key);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,14 +13,18 @@
 use limit::Tuning;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use tokio::sync::Notify;
 
 use crate::Directory;
 use crate::Headers;
+use crate::Peer;
+use crate::Peers;
 use crate::Platform;
 use crate::Route;
 use crate::RouteName;
 use crate::Settings;
 use crate::Table;
+use crate::peers::Logs;
 use crate::pool::Pool;
 
 /// Part of the objective that the usual reply time is taken for while few replies were seen.
@@ -46,6 +50,8 @@
     /// Longest deadline that callers gave on each route.
     pub(crate) deadlines: HashMap<RouteName, Duration>,
     pub(crate) has_servers: bool,
+    pub(crate) peers: Peers,
+    pub(crate) logs: Logs,
 }
 
 /// One gateway process.
@@ -54,6 +60,10 @@
     pub(crate) headers: Headers,
     pub(crate) platform: Box<dyn Platform>,
     pub(crate) stopping: Cell<bool>,
+    /// Wakes peers that wait for a change.
+    pub(crate) news: Notify,
+    /// Wakes those that wait for the first list of other gateways.
+    pub(crate) listed: Notify,
     /// Connections of callers that are open.
     pub(crate) callers: Cell<usize>,
 }
@@ -67,7 +77,7 @@
         );
         limits.set_repeat_rule(settings.repeats);
         let state = State {
-            directory: Directory::new(settings.node.clone()),
+            directory: Directory::new(),
             settings,
             table: None,
             limits,
@@ -77,12 +87,16 @@
             reply_times: HashMap::new(),
             deadlines: HashMap::new(),
             has_servers: false,
+            peers: Peers::default(),
+            logs: Logs::default(),
         };
         Node {
             state: RefCell::new(state),
             headers: platform.headers(),
             platform,
             stopping: Cell::new(false),
+            news: Notify::new(),
+            listed: Notify::new(),
             callers: Cell::new(0),
         }
     }
@@ -136,6 +150,23 @@
             .record(time);
     }
 
+    /// Takes in the gateways that share servers and the bound of repeats with this one.
+    pub(crate) fn set_peers(&mut self, known: Vec<Peer>) {
+        self.peers.set(known);
+        let mut rule = self.settings.repeats;
+        rule.nodes = u32::try_from(self.peers.count(|_| true)).unwrap_or(u32::MAX);
+        self.limits.set_repeat_rule(rule);
+        let regions = &self.settings.regions;
+        let nodes = regions
+            .iter()
+            .map(|(zone, region)| {
+                let sharing = self.peers.count(|other| regions.get(other) == Some(region));
+                (zone.clone(), u32::try_from(sharing).unwrap_or(u32::MAX))
+            })
+            .collect();
+        self.directory.set_nodes(nodes);
+    }
+
     pub(crate) fn sweep(&mut self, now: Instant) {
         self.pool.sweep(now);
     }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -6,6 +6,7 @@
 use http::HeaderName;
 use snafu::Snafu;
 
+use crate::Peer;
 use crate::Server;
 use crate::Table;
 
@@ -19,6 +20,8 @@
     Configuration,
     /// The servers, each of which registers itself.
     Servers,
+    /// The gateways, each of which registers itself.
+    Peers,
 }
 
 /// Headers that callers, the gateway and servers exchange.
@@ -47,6 +50,8 @@
     Configuration(Box<Table>),
     /// A server that is registered.
     Server(Server),
+    /// A gateway that is registered.
+    Peer(Peer),
     /// The object was removed.
     Removed,
     /// The object can't be understood, for the reason given.
@@ -89,6 +94,12 @@
     /// Returns the path of a call that lists the objects of a kind, after an object if one is given.
     fn list_path(&self, kind: Kind, after: Option<&str>) -> String;
 
+    /// Returns the path of a cheaper list that may be seconds old.
+    fn stale_list_path(&self, kind: Kind, after: Option<&str>) -> String;
+
+    /// Returns path and body of the call that registers a gateway.
+    fn registration(&self, peer: &Peer) -> (String, String);
+
     /// Returns the path of a call that waits for changes of a kind after a version.
     fn watch_path(&self, kind: Kind, since: StoreVersion, wait: Duration) -> String;
 
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,184 @@
+//! The calls between gateways: one asks another for the changes in the store.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+
+use crate::Kind;
+use crate::Passed;
+use crate::Snapshot;
+use crate::StoreVersion;
+use crate::node::Node;
+use crate::pool::Connection;
+use crate::pool::connect;
+
+/// Longest time for which a relay holds a question back; a relay that stopped is noticed after it.
+pub(crate) const POLL_TIME: Duration = Duration::from_millis(900);
+
+/// Time beyond [`POLL_TIME`] after which a relay counts as silent.
+const POLL_MARGIN: Duration = Duration::from_millis(250);
+
+/// Time for which a connection of a peer may be idle.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// Pause after an error of `accept`, such as a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A connection to a relay.
+#[derive(Debug, Default)]
+pub(crate) struct Link {
+    open: Option<(SocketAddr, Connection)>,
+}
+
+impl Link {
+    /// Asks a relay for the changes after a version; any failure counts as silence.
+    pub(crate) async fn ask(
+        &mut self,
+        addr: SocketAddr,
+        kind: Kind,
+        since: Option<StoreVersion>,
+    ) -> Passed {
+        let asked = tokio::time::timeout(POLL_TIME + POLL_MARGIN, self.exchange(addr, kind, since));
+        match asked.await {
+            Ok(Some(passed)) => passed,
+            Ok(None) | Err(_) => {
+                self.open = None;
+                Passed::Silent
+            }
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        addr: SocketAddr,
+        kind: Kind,
+        since: Option<StoreVersion>,
+    ) -> Option<Passed> {
+        let mut connection = match self.open.take() {
+            Some((open, connection)) if open == addr && !connection.sender.is_closed() => {
+                connection
+            }
+            _ => connect(addr).await.ok()?,
+        };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = question_path(kind, since).parse().ok()?;
+        let response = connection.sender.send_request(request).await.ok()?;
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        self.open = Some((addr, connection));
+        match status {
+            StatusCode::OK => Some(Passed::Changes(body)),
+            StatusCode::NO_CONTENT => Some(Passed::UpToDate),
+            StatusCode::ACCEPTED => Snapshot::decode(body).map(Passed::Snapshot),
+            _ => Some(Passed::Unsure),
+        }
+    }
+}
+
+/// Answers other gateways until the process ends.
+pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "relay: accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<hyper::body::Incoming>| {
+                let node = Rc::clone(&node);
+                async move {
+                    Ok::<_, Infallible>(answer(&node, request.method(), request.uri().path()).await)
+                }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIME)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "relay: connection ended");
+            }
+        });
+    }
+}
+
+/// Waits until there are changes or the time is over, and gives up at once when the store is lost.
+async fn answer(node: &Node, method: &Method, path: &str) -> Response<Full<Bytes>> {
+    let question = parse_path(path).filter(|_| method == Method::GET);
+    let Some((kind, since)) = question else {
+        return reply(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let end = tokio::time::Instant::now() + POLL_TIME;
+    loop {
+        let news = node.news.notified();
+        let passed = node
+            .state
+            .borrow_mut()
+            .logs
+            .get_mut(kind)
+            .map_or(Passed::Unsure, |log| log.after(since));
+        match passed {
+            Passed::Changes(body) => return reply(StatusCode::OK, body),
+            Passed::Snapshot(snapshot) => return reply(StatusCode::ACCEPTED, snapshot.encode()),
+            Passed::Unsure | Passed::Silent => {
+                return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            }
+            Passed::UpToDate | Passed::Starting => {}
+        }
+        if tokio::time::timeout_at(end, news).await.is_err() {
+            let status = match passed {
+                Passed::UpToDate => StatusCode::NO_CONTENT,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            return reply(status, Bytes::new());
+        }
+    }
+}
+
+fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+fn question_path(kind: Kind, since: Option<StoreVersion>) -> String {
+    let kind = match kind {
+        Kind::Configuration => "configuration",
+        Kind::Servers => "servers",
+        Kind::Peers => "peers",
+    };
+    match since {
+        Some(since) => format!("/{kind}/{since}"),
+        None => format!("/{kind}/all"),
+    }
+}
+
+fn parse_path(path: &str) -> Option<(Kind, Option<StoreVersion>)> {
+    let (kind, since) = path.strip_prefix('/')?.split_once('/')?;
+    let kind = match kind {
+        "configuration" => Kind::Configuration,
+        "servers" => Kind::Servers,
+        _ => return None,
+    };
+    match since {
+        "all" => Some((kind, None)),
+        since => Some((kind, Some(since.parse().ok()?))),
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,7 +22,9 @@
 use crate::ingress::serve_callers;
 use crate::ingress::serve_ready;
 use crate::node::Node;
+use crate::relay::serve_peers;
 use crate::sync::follow;
+use crate::sync::follow_peers;
 use crate::sync::sweep;
 
 /// Connections that may wait to be accepted.
@@ -89,6 +91,9 @@
     let ready = listen(settings.ready).context(ListenSnafu {
         addr: settings.ready,
     })?;
+    let peer = listen(settings.peer).context(ListenSnafu {
+        addr: settings.peer,
+    })?;
     let grace = settings.grace;
     let client = Client::new(ClientOptions {
         platform: settings.store,
@@ -106,6 +111,8 @@
     let (close, closing) = watch::channel(false);
     tokio::task::spawn_local(serve_callers(Rc::clone(&node), front, closing));
     tokio::task::spawn_local(serve_ready(Rc::clone(&node), ready));
+    tokio::task::spawn_local(serve_peers(Rc::clone(&node), peer));
+    tokio::task::spawn_local(follow_peers(Rc::clone(&node), client.clone()));
     tokio::task::spawn_local(sweep(Rc::clone(&node)));
     for kind in [Kind::Configuration, Kind::Servers] {
         tokio::task::spawn_local(follow(Rc::clone(&node), client.clone(), kind));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,6 +24,8 @@
     pub front: SocketAddr,
     /// Address on which the balancer asks whether the process takes new connections.
     pub ready: SocketAddr,
+    /// Address for other gateways.
+    pub peer: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -10,45 +10,118 @@
 use store::Client;
 use store::StoreError;
 
-use crate::Batch;
 use crate::Change;
+use crate::DecodeError;
 use crate::Kind;
 use crate::Object;
+use crate::Passed;
+use crate::Peer;
+use crate::Snapshot;
 use crate::StoreVersion;
 use crate::Value;
 use crate::node::Node;
 use crate::node::State;
+use crate::relay::Link;
 
 /// Longest wait of one watch; a connection that fell silent is noticed after it.
-const WATCH_TIME: Duration = Duration::from_secs(4);
+const WATCH_TIME: Duration = Duration::from_millis(1_100);
 
 /// Time after a change in which further ones are left to the next watch, because each call has its price.
 const BATCH_TIME: Duration = Duration::from_millis(500);
 
-/// Time from a failed call to the next one; a random part of the same length comes on top.
+/// Time from a first failed call to the next one; it doubles with each further failure, and a random part of the same
+/// length comes on top.
 const RETRY_TIME: Duration = Duration::from_millis(100);
 
+/// Longest such time. The whole fleet calls a store that is down, and each call has its price, also a refused one.
+const MAX_RETRY_TIME: Duration = Duration::from_millis(1_600);
+
+/// Length of a failed call from which on the store may have been lost for all that time.
+const STILL_TIME: Duration = Duration::from_millis(1_400);
+
+/// Relays that may be unsure one after the other before the store is asked.
+const MAX_UNSURE: u32 = 1;
+
+/// Failed calls in a row after which a relay tells its peers that it has lost the store; a watch that was merely cut is
+/// repeated at once.
+const LOST_FAILURES: u32 = 2;
+
 /// Time after a failed call in which a removed entry may be one that lapsed while the store was away.
 const AWAY_TIME: Duration = Duration::from_secs(3);
 
+/// Time in which gateways that start together register, before they list each other.
+const REGISTER_TIME: Duration = Duration::from_millis(400);
+
+/// Longest time for which the first list of a starting gateway waits for the list of the others.
+const PEERS_WAIT: Duration = Duration::from_millis(800);
+
+/// How often the other gateways are listed.
+const PEERS_TIME: Duration = Duration::from_secs(12);
+
+/// Time to the second list of the other gateways, when all of them have started together.
+const FIRST_PEERS_TIME: Duration = Duration::from_secs(1);
+
 /// How often lapsed entries and idle connections are looked at.
 const SWEEP_TIME: Duration = Duration::from_millis(500);
 
+/// Where the next changes are read.
+enum Source {
+    Store,
+    Relay(Peer),
+}
+
+/// How a relay failed.
+enum Lost {
+    /// It said that it has no contact with the store; another one may have.
+    Unsure,
+    /// It did not answer in time, so that there is none left to try others.
+    Silent,
+}
+
 /// Follows one kind of object until the process ends.
 pub(crate) async fn follow(node: Rc<Node>, client: Client, kind: Kind) {
+    wait_for_peers(&node).await;
+    let mut link = Link::default();
     let mut since = None;
     let mut away: Option<Instant> = None;
-    let mut failed = false;
+    let mut prompt = false;
+    let mut failures = 0;
+    let mut unsure = 0;
     loop {
-        let result = match since {
-            None => list(&node, &client, kind, away).await,
-            Some(version) => {
+        let source = if prompt {
+            Source::Store
+        } else {
+            choose_source(&node)
+        };
+        let began = Instant::now();
+        let result = match (since, source) {
+            (_, Source::Relay(relay)) => {
+                match ask_relay(&node, &mut link, &relay, kind, since, away).await {
+                    Ok(version) => {
+                        since = Some(version);
+                        unsure = 0;
+                        if let Some(log) = node.state.borrow_mut().logs.get_mut(kind) {
+                            log.follow(version);
+                        }
+                    }
+                    Err(Lost::Unsure) => {
+                        unsure += 1;
+                        prompt = unsure > MAX_UNSURE;
+                    }
+                    Err(Lost::Silent) => prompt = true,
+                }
+                continue;
+            }
+            (None, Source::Store) => list(&node, &client, kind, away).await,
+            (Some(version), Source::Store) => {
                 // A call that may wait would show only after its whole wait that a silent store still is silent.
-                let wait = if failed { Duration::ZERO } else { WATCH_TIME };
+                let wait = if prompt { Duration::ZERO } else { WATCH_TIME };
                 watch(&node, &client, kind, version, wait, away).await
             }
         };
-        failed = matches!(result, Err(Trouble::Failed(_)));
+        prompt = matches!(result, Err(Trouble::Failed(_)));
+        failures = if prompt { failures + 1 } else { 0 };
+        unsure = 0;
         match result {
             Ok((version, changed)) => {
                 if away.is_some_and(|away| away.elapsed() > AWAY_TIME) {
@@ -66,9 +139,174 @@
             Err(Trouble::Failed(reason)) => {
                 log::warn!(kind:? = kind, since:? = since, reason = reason.as_str(); "store: call failed");
                 away = Some(Instant::now());
+                if failures >= LOST_FAILURES || began.elapsed() > STILL_TIME {
+                    if let Some(log) = node.state.borrow_mut().logs.get_mut(kind) {
+                        log.note_failure();
+                    }
+                    node.news.notify_waiters();
+                }
                 let jitter = node.state.borrow_mut().rng.random::<f64>();
-                tokio::time::sleep(RETRY_TIME.mul_f64(1.0 + jitter)).await;
+                let pause = (RETRY_TIME * (1 << failures.min(5)) / 2).min(MAX_RETRY_TIME);
+                tokio::time::sleep(pause.mul_f64(1.0 + jitter)).await;
+            }
+        }
+    }
+}
+
+/// Waits until the other gateways are known, so that a gateway that starts can ask one of them.
+async fn wait_for_peers(node: &Node) {
+    let listed = node.listed.notified();
+    if node.state.borrow().peers.count(|_| true) == 0 {
+        // A store that doesn't answer must not keep the first list of servers waiting.
+        let _ = tokio::time::timeout(PEERS_WAIT, listed).await;
+    }
+}
+
+fn choose_source(node: &Node) -> Source {
+    let state = node.state.borrow();
+    let settings = &state.settings;
+    match state
+        .peers
+        .relay(&settings.node, &settings.zone, Instant::now())
+    {
+        Some(relay) => Source::Relay(relay),
+        None => Source::Store,
+    }
+}
+
+/// Asks a relay for changes; returns the version known then, or `None` if the store has to be asked.
+async fn ask_relay(
+    node: &Node,
+    link: &mut Link,
+    relay: &Peer,
+    kind: Kind,
+    since: Option<StoreVersion>,
+    away: Option<Instant>,
+) -> Result<StoreVersion, Lost> {
+    let answer = link.ask(relay.addr, kind, since).await;
+    let taken = match &answer {
+        Passed::UpToDate => return since.ok_or(Lost::Unsure),
+        Passed::Changes(body) => take_changes(node, kind, body, away),
+        Passed::Snapshot(snapshot) => take_snapshot(node, kind, snapshot, away),
+        Passed::Starting | Passed::Unsure | Passed::Silent => {
+            let reason = if answer == Passed::Silent {
+                "silent"
+            } else {
+                "unsure"
+            };
+            log::info!(relay = relay.node.as_str(), kind:? = kind, since:? = since, reason; "relay: lost");
+            let mut state = node.state.borrow_mut();
+            state.peers.pass_over(&relay.node, &answer, Instant::now());
+            return Err(match answer {
+                Passed::Silent => Lost::Silent,
+                _ => Lost::Unsure,
+            });
+        }
+    };
+    match taken {
+        Ok(version) => Ok(since.map_or(version, |since| since.max(version))),
+        Err(error) => {
+            log::warn!(relay = relay.node.as_str(), reason:% = error; "relay: answer can't be read");
+            Err(Lost::Silent)
+        }
+    }
+}
+
+fn take_changes(
+    node: &Node,
+    kind: Kind,
+    body: &[u8],
+    away: Option<Instant>,
+) -> Result<StoreVersion, DecodeError> {
+    let batch = node.platform.read_changes(kind, body)?;
+    apply_all(node, batch.objects, away);
+    Ok(batch.version)
+}
+
+fn take_snapshot(
+    node: &Node,
+    kind: Kind,
+    snapshot: &Snapshot,
+    away: Option<Instant>,
+) -> Result<StoreVersion, DecodeError> {
+    let mut listing = Listing::default();
+    for page in &snapshot.pages {
+        listing.take(node, kind, page, away)?;
+    }
+    let mut version = listing.finish(node, kind, away);
+    for body in &snapshot.changes {
+        version = version.max(take_changes(node, kind, body, away)?);
+    }
+    Ok(version)
+}
+
+/// Registers this gateway and learns of the others, again and again.
+pub(crate) async fn follow_peers(node: Rc<Node>, client: Client) {
+    let mut registered = false;
+    loop {
+        let (own, jitter) = {
+            let mut state = node.state.borrow_mut();
+            let settings = &state.settings;
+            let own = Peer {
+                node: settings.node.clone(),
+                zone: settings.zone.clone(),
+                addr: settings.peer,
+            };
+            (own, state.rng.random::<f64>())
+        };
+        let mut pause = PEERS_TIME;
+        if !registered {
+            let (path, body) = node.platform.registration(&own);
+            match client.create(&path, body).await {
+                Ok(()) => registered = true,
+                Err(error) => log::warn!(reason:% = error; "peers: not registered"),
             }
+            pause = FIRST_PEERS_TIME;
+            tokio::time::sleep(REGISTER_TIME).await;
+        }
+        match list_peers(&node, &client).await {
+            Ok(peers) => {
+                let mut state = node.state.borrow_mut();
+                if state.peers.count(|_| true) != peers.len() {
+                    log::info!(peers = peers.len(); "peers: changed");
+                }
+                state.set_peers(peers);
+                node.listed.notify_waiters();
+            }
+            Err(error) => {
+                log::warn!(reason:% = error; "peers: list failed");
+                pause = FIRST_PEERS_TIME;
+            }
+        }
+        tokio::time::sleep(pause.mul_f64(1.0 + jitter / 4.0)).await;
+    }
+}
+
+async fn list_peers(node: &Node, client: &Client) -> Result<Vec<Peer>, StoreError> {
+    let mut peers = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let path = node.platform.stale_list_path(Kind::Peers, after.as_deref());
+        let body = client.read(&path, Duration::ZERO).await?;
+        let batch = match node.platform.read_list(Kind::Peers, &body) {
+            Ok(batch) => batch,
+            Err(error) => {
+                return Err(StoreError::Invalid {
+                    reason: error.to_string(),
+                });
+            }
+        };
+        after = batch.objects.last().map(|object| object.name.to_string());
+        for object in batch.objects {
+            match object.value {
+                Value::Peer(peer) => peers.push(peer),
+                other => {
+                    log::warn!(name = object.name.as_str(), value:? = other; "peers: entry can't be used")
+                }
+            }
+        }
+        if !batch.more || after.is_none() {
+            return Ok(peers);
         }
     }
 }
@@ -93,6 +331,12 @@
     Failed(String),
 }
 
+impl From<DecodeError> for Trouble {
+    fn from(error: DecodeError) -> Trouble {
+        Trouble::Failed(error.to_string())
+    }
+}
+
 impl From<StoreError> for Trouble {
     fn from(error: StoreError) -> Trouble {
         match error {
@@ -102,43 +346,65 @@
     }
 }
 
+/// A list in pages, as far as it was read.
+#[derive(Default)]
+struct Listing {
+    names: HashSet<UpstreamId>,
+    version: Option<StoreVersion>,
+    after: Option<String>,
+}
+
+impl Listing {
+    /// Takes in a page; returns whether another one follows.
+    fn take(
+        &mut self,
+        node: &Node,
+        kind: Kind,
+        page: &[u8],
+        away: Option<Instant>,
+    ) -> Result<bool, DecodeError> {
+        let batch = node.platform.read_list(kind, page)?;
+        // Changes during the later pages are watched for from the first page on.
+        self.version.get_or_insert(batch.version);
+        self.after = batch.objects.last().map(|object| object.name.to_string());
+        self.names
+            .extend(batch.objects.iter().map(|object| object.name.clone()));
+        apply_all(node, batch.objects, away);
+        Ok(batch.more && self.after.is_some())
+    }
+
+    /// Drops the servers that are not on the list, and returns the version from which on to watch.
+    fn finish(self, node: &Node, kind: Kind, away: Option<Instant>) -> StoreVersion {
+        if kind == Kind::Servers {
+            drop_unlisted(&mut node.state.borrow_mut(), &self.names, away);
+        }
+        self.version.unwrap_or_default()
+    }
+}
+
 async fn list(
     node: &Node,
     client: &Client,
     kind: Kind,
     away: Option<Instant>,
 ) -> Result<(StoreVersion, bool), Trouble> {
-    let mut listed = HashSet::new();
-    let mut first = None;
-    let mut after: Option<String> = None;
+    let mut listing = Listing::default();
+    let mut pages = Vec::new();
     loop {
-        let path = node.platform.list_path(kind, after.as_deref());
+        let path = node.platform.list_path(kind, listing.after.as_deref());
         let body = client.read(&path, Duration::ZERO).await?;
-        let batch = node
-            .platform
-            .read_list(kind, &body)
-            .map_err(|error| Trouble::Failed(error.to_string()))?;
-        let Batch {
-            objects,
-            more,
-            version,
-        } = batch;
-        first.get_or_insert(version);
-        after = objects.last().map(|object| object.name.to_string());
-        let mut state = node.state.borrow_mut();
-        for object in objects {
-            listed.insert(object.name.clone());
-            apply(&mut state, object, away);
-        }
-        if !more || after.is_none() {
+        let more = listing.take(node, kind, &body, away)?;
+        pages.push(body);
+        if !more {
             break;
         }
     }
-    if kind == Kind::Servers {
-        drop_unlisted(&mut node.state.borrow_mut(), &listed, away);
+    let version = listing.finish(node, kind, away);
+    if let Some(log) = node.state.borrow_mut().logs.get_mut(kind) {
+        log.restart(version, pages);
     }
-    // Changes during the later pages are watched for from the first page on.
-    Ok((first.unwrap_or(0), false))
+    node.news.notify_waiters();
+    Ok((version, false))
 }
 
 async fn watch(
@@ -151,16 +417,24 @@
 ) -> Result<(StoreVersion, bool), Trouble> {
     let path = node.platform.watch_path(kind, since, wait);
     let body = client.read(&path, wait).await?;
-    let batch = node
-        .platform
-        .read_changes(kind, &body)
-        .map_err(|error| Trouble::Failed(error.to_string()))?;
+    let batch = node.platform.read_changes(kind, &body)?;
     let changed = !batch.objects.is_empty();
+    let version = batch.version.max(since);
+    apply_all(node, batch.objects, away);
+    if let Some(log) = node.state.borrow_mut().logs.get_mut(kind) {
+        log.add(version, changed.then_some(body));
+    }
+    if changed {
+        node.news.notify_waiters();
+    }
+    Ok((version, changed))
+}
+
+fn apply_all(node: &Node, objects: Vec<Object>, away: Option<Instant>) {
     let mut state = node.state.borrow_mut();
-    for object in batch.objects {
+    for object in objects {
         apply(&mut state, object, away);
     }
-    Ok((batch.version.max(since), changed))
 }
 
 fn apply(state: &mut State, object: Object, away: Option<Instant>) {
@@ -191,6 +465,7 @@
             }
             close_dropped(state, change);
         }
+        Value::Peer(peer) => log::warn!(peer = peer.node.as_str(); "peers: unexpected entry"),
         Value::Removed => remove(state, &object.name, away),
         Value::Unreadable(reason) => {
             log::warn!(name = object.name.as_str(), reason = reason.as_str(); "store: object can't be used");
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -243,6 +243,19 @@
         expect_ok(reply)
     }
 
+    /// Creates an object in the platform's own dialect; one that exists already counts as created.
+    pub async fn create(&self, path: &str, body: String) -> Result<(), StoreError> {
+        let ticket = self.admit()?;
+        let timeout = self.shared.timeout;
+        let reply = self
+            .call(ticket, Method::POST, path, body.into(), timeout)
+            .await?;
+        if reply.status == StatusCode::CONFLICT {
+            return Ok(());
+        }
+        expect_ok(reply).map(|_| ())
+    }
+
     /// Reads the platform's list of VMs, which lags.
     pub async fn list_vms(&self) -> Result<Vec<Vm>, StoreError> {
         let ticket = self.admit()?;
