--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -77,7 +77,12 @@
         let mut limits = Limits::new(
             settings.zone.clone(),
             settings.region.clone(),
-            Tuning::default(),
+            // A server in trouble is avoided by its estimate, so that it is still there when all others are worse.
+            Tuning {
+                backoff: false,
+                silence: false,
+                ..Tuning::default()
+            },
         );
         limits.set_repeat_rule(settings.repeats);
         let state = State {
--- a/crates/limit/src/near.rs
+++ b/crates/limit/src/near.rs
@@ -21,8 +21,8 @@
 /// Added to the estimate of a server that stands still: longer than any server is expected to pause.
 const STALL: Duration = Duration::from_secs(1);
 
-/// Usual reply times that a share of one of shed or failed attempts adds to the estimate.
-const TROUBLE_COST: f32 = 6.0;
+/// Added to the estimate of a server that sheds or fails every attempt: each one costs a repeat, of which few are allowed.
+const TROUBLE: Duration = Duration::from_millis(400);
 
 /// Largest random part of an estimate, so that equal servers are used in turn.
 const JITTER: f32 = 0.2;
@@ -82,7 +82,7 @@
     let expected = usual + way;
     let mean = gate.fading_mean(expected, now).unwrap_or(expected);
     let load = gate.in_flight() as f32 / gate.slots() as f32;
-    let mut cost = mean.mul_f32(1.0 + load) + usual.mul_f32(TROUBLE_COST * gate.trouble(now));
+    let mut cost = mean.mul_f32(1.0 + load) + TROUBLE.mul_f32(gate.trouble(now));
     if gate.is_stalled(expected * STALL_FACTOR, now) {
         cost += STALL;
     }
