gateway: send requests that may run once on settled connections only

Connections of such requests were also kept, though never used again, and filled the cap. Change: wait a round trip and 8 ms before sending, and close the connection after the reply.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One request to one server, and what its reply proves.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,6 +30,9 @@
 /// Longest time to wait for a connection; a server that takes longer is cut off or stands still.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 
+/// Time beyond a round trip in which a server resets a connection that it has no room for.
+const SETTLE_TIME: Duration = Duration::from_millis(8);
+
 /// Largest reply that is read, since it is held in memory until it is complete.
 const MAX_REPLY_BYTES: usize = 4 << 20;
 
@@ -114,7 +118,7 @@
     };
     let mut connection = match take_idle(node, outgoing, key) {
         Some(connection) => connection,
-        None => open(endpoint.addr).await?,
+        None => open(endpoint.addr, outgoing.repeatable).await?,
     };
     let request = build_request(node, outgoing, endpoint.id.as_str())?;
     let response = match connection.sender.try_send_request(request).await {
@@ -141,7 +145,7 @@
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         displace(node, key);
-    } else {
+    } else if outgoing.repeatable {
         keep(node, connection, key, &head.headers);
     }
     judge(head.status, head.headers, body, &node.headers)
@@ -155,12 +159,24 @@
     node.state.borrow_mut().pool.take(key, Instant::now())
 }
 
-async fn open(addr: std::net::SocketAddr) -> Result<Connection, Lost> {
-    match tokio::time::timeout(CONNECT_TIME, connect(addr)).await {
-        Ok(Ok(connection)) => Ok(connection),
-        Ok(Err(_)) => lose(Failure::Refused, "the connection was refused"),
-        Err(_) => lose(Failure::Unreachable, "no connection in time"),
+/// Opens a connection; for a request that may run only once, one that the server is sure to have taken.
+///
+/// A server that has too many connections resets a new one a round trip after it seemed open. A request that was sent
+/// meanwhile might have run, for all that can be seen.
+async fn open(addr: SocketAddr, repeatable: bool) -> Result<Connection, Lost> {
+    let began = Instant::now();
+    let connection = match tokio::time::timeout(CONNECT_TIME, connect(addr)).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(_)) => return lose(Failure::Refused, "the connection was refused"),
+        Err(_) => return lose(Failure::Unreachable, "no connection in time"),
+    };
+    if !repeatable {
+        tokio::time::sleep(began.elapsed() + SETTLE_TIME).await;
+        if connection.sender.is_closed() {
+            return lose(Failure::Refused, "the connection was reset before the request");
+        }
     }
+    Ok(connection)
 }
 
 fn build_request(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -157,6 +157,8 @@
     /// Failure of a server that is passed on when no server gives anything better.
     failure: Option<Reply>,
     sent: HashMap<AttemptId, Instant>,
+    /// Why the latest sub-request failed.
+    reason: &'static str,
 }
 
 async fn run(node: &Rc<Node>, route: Rc<Route>, outgoing: Outgoing, objective: Instant) -> Answer {
@@ -172,6 +174,7 @@
         replies: HashMap::new(),
         failure: None,
         sent: HashMap::new(),
+        reason: "none",
     };
     let mut input = Input::Start;
     let verdict = loop {
@@ -286,10 +289,11 @@
             }
             Ok(reply) => {
                 self.failure = Some(reply);
+                self.reason = "the server failed";
                 Input::Failed(id, Failure::Lost)
             }
             Err(lost) => {
-                log::debug!(id = id, reason = lost.reason; "attempt failed");
+                self.reason = lost.reason;
                 Input::Failed(id, lost.failure)
             }
         }
@@ -300,16 +304,17 @@
         let route = self.route.name.as_str();
         let ms = started.elapsed().as_millis() as u64;
         let sent = gather.sent();
+        let reason = self.reason;
         match verdict {
             Verdict::Answered { missing: 0, .. } => {
                 log::debug!(id, route, ms, sent; "request: answered");
             }
             Verdict::Answered { missing, .. } => {
-                log::info!(id, route, ms, sent, missing; "request: partial");
+                log::info!(id, route, ms, sent, missing, reason; "request: partial");
             }
-            Verdict::NotRun => log::info!(id, route, ms, sent; "request: not run"),
-            Verdict::Failed => log::info!(id, route, ms, sent; "request: failed"),
-            Verdict::TimedOut => log::info!(id, route, ms, sent; "request: timed out"),
+            Verdict::NotRun => log::info!(id, route, ms, sent, reason; "request: not run"),
+            Verdict::Failed => log::info!(id, route, ms, sent, reason; "request: failed"),
+            Verdict::TimedOut => log::info!(id, route, ms, sent, reason; "request: timed out"),
         }
     }
 
--- a/crates/limit/src/repeat.rs
+++ b/crates/limit/src/repeat.rs
@@ -6,7 +6,7 @@
 const SPENT_RATIO: f64 = 0.9;
 
 /// Part of the allowed slack that the nodes share out among them.
-const SPENT_SLACK: f64 = 0.6;
+const SPENT_SLACK: f64 = 0.75;
 
 /// Smallest number of tokens that a node may save up, so that a single lost reply can be replaced.
 const MIN_BURST: f64 = 1.0;
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -19,9 +19,16 @@
 use crate::Failure;
 use crate::Kind;
 
-/// Time after which a sub-request is tried again when every replica was at its limit or shed it.
+/// Time after which a sub-request is first tried again when every replica was at its limit or no repeat was allowed; it
+/// doubles each time.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Longest such time.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(160);
+
+/// Usual reply times that have to be left for a further sub-request.
+const LAST_TRY: u32 = 2;
+
 /// Part of the saved repeat tokens that hedges leave for retries, which replace what is already lost.
 const HEDGE_RESERVE: f64 = 0.3;
 
@@ -128,6 +135,8 @@
     /// Sub-requests that ran or may have run.
     runs: u32,
     sent: u32,
+    /// Times that a sub-request had to wait for a place or for a repeat.
+    held: u32,
     hedge_at: Option<Instant>,
     retry_at: Option<Instant>,
 }
@@ -149,6 +158,7 @@
             tried: Vec::new(),
             runs: 0,
             sent: 0,
+            held: 0,
             hedge_at: None,
             retry_at: None,
         };
@@ -317,7 +327,8 @@
                 0.0
             };
             if !env.limits.take_repeat(service, reserve) {
-                picked = Err(Blocked::Unknown);
+                // Requests earn repeats all the time, and a late answer is better than none.
+                picked = Err(Blocked::Limit);
             }
         }
         let permit = match picked.and_then(|key| env.limits.acquire(key, now)) {
@@ -394,13 +405,15 @@
 impl Shard {
     /// Waits for a place, or gives the service up when nothing is outstanding and nothing will change in time.
     fn hold(&mut self, blocked: Blocked, kind: Kind, now: Instant, order: &Order) {
-        let may_wait = matches!(blocked, Blocked::Limit | Blocked::Share)
-            && now + RETRY_DELAY < order.objective.min(order.deadline);
         if kind == Kind::Hedge {
             return;
         }
+        let delay = (RETRY_DELAY * (1 << self.held.min(4))).min(MAX_RETRY_DELAY);
+        let may_wait = matches!(blocked, Blocked::Limit | Blocked::Share)
+            && now + delay + order.usual * LAST_TRY < order.deadline;
         if may_wait {
-            self.retry_at = Some(now + RETRY_DELAY);
+            self.held += 1;
+            self.retry_at = Some(now + delay);
         } else if self.live.is_empty() {
             self.progress = Progress::Missing;
         }
