query: give a far server the time of its way before the hedge

The test without_tokens_nothing_is_repeated expected a failure at once; since requests wait for a repeat it now checks at every wake until the deadline that nothing is sent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -173,7 +173,10 @@
     if !repeatable {
         tokio::time::sleep(began.elapsed() + SETTLE_TIME).await;
         if connection.sender.is_closed() {
-            return lose(Failure::Refused, "the connection was reset before the request");
+            return lose(
+                Failure::Refused,
+                "the connection was reset before the request",
+            );
         }
     }
     Ok(connection)
--- a/crates/limit/src/near.rs
+++ b/crates/limit/src/near.rs
@@ -66,6 +66,11 @@
         best.map(|(_, key)| key).ok_or(blocked)
     }
 
+    /// Returns the time that the way to an upstream and back adds to a reply.
+    pub fn trip(&self, key: GateKey) -> Duration {
+        self.gate(key).map_or(Duration::ZERO, find_trip)
+    }
+
     /// Tells whether an upstream is in the node's own availability zone.
     pub fn is_near(&self, key: GateKey) -> bool {
         self.gate(key)
@@ -73,13 +78,16 @@
     }
 }
 
-fn estimate(gate: &Gate, usual: Duration, now: Instant) -> Duration {
-    let way = match gate.distance() {
+fn find_trip(gate: &Gate) -> Duration {
+    match gate.distance() {
         Distance::Zone => Duration::ZERO,
         Distance::Region => REGION_TRIP,
         Distance::Far => FAR_TRIP,
-    };
-    let expected = usual + way;
+    }
+}
+
+fn estimate(gate: &Gate, usual: Duration, now: Instant) -> Duration {
+    let expected = usual + find_trip(gate);
     let mean = gate.fading_mean(expected, now).unwrap_or(expected);
     let load = gate.in_flight() as f32 / gate.slots() as f32;
     let mut cost = mean.mul_f32(1.0 + load) + TROUBLE.mul_f32(gate.trouble(now));
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -345,7 +345,9 @@
         shard.sent += 1;
         shard.live.push(id);
         if self.order.repeatable && kind != Kind::Hedge {
-            shard.hedge_at = Some(now + self.order.hedge_after);
+            // A far server is not late before its reply could be here.
+            let trip = env.limits.trip(permit.key());
+            shard.hedge_at = Some(now + self.order.hedge_after + trip);
         }
         outputs.push(Output::Send {
             id,
--- a/crates/query/tests/gather.rs
+++ b/crates/query/tests/gather.rs
@@ -209,6 +209,16 @@
     ));
 }
 
+/// Guards against a hedge for every request to a far server, which leaves none for late ones.
+#[test]
+fn far_server_has_the_time_for_its_way() {
+    let mut rig = Rig::new(1, 1, true);
+    rig.replicas.get_mut("s0").unwrap().remove(0);
+    rig.start();
+    assert_eq!(rig.wake(), 56 + 24);
+    assert_eq!(rig.count(Kind::Hedge), 1);
+}
+
 macro_rules! single_request_is_repeated {
     ($($name:ident: $repeatable:literal, $failure:expr => $repeated:literal,)+) => {
         /// Guards against a request that runs twice though it may not, and against one that is given up though it
@@ -324,10 +334,34 @@
     while rig.limits.take_repeat(&service, 0.0) {}
     rig.start();
     rig.end(0, Some(Failure::Lost), 10);
-    assert!(rig.sent.is_empty());
+    while rig.verdict.is_none() {
+        rig.wake();
+        assert!(rig.sent.is_empty());
+    }
     assert_eq!(rig.verdict, Some(Verdict::Failed));
 }
 
+/// Guards against giving a request up at a moment without a repeat, though repeats are earned all the time.
+#[test]
+fn repeat_is_sent_when_it_is_earned() {
+    let mut rig = Rig::new(1, 1, true);
+    rig.limits.set_repeat_rule(RepeatRule {
+        ratio: 0.5,
+        slack: 0.0,
+        window: ms(10_000),
+        nodes: 1,
+    });
+    let service = ServiceName::from("s0");
+    while rig.limits.take_repeat(&service, 0.0) {}
+    rig.start();
+    rig.end(0, Some(Failure::Lost), 10);
+    assert_eq!((rig.sent.len(), &rig.verdict), (0, &None));
+    rig.limits.earn_repeat(&service);
+    rig.limits.earn_repeat(&service);
+    rig.wake();
+    assert_eq!(rig.count(Kind::Retry), 1);
+}
+
 fn any_failure() -> impl Strategy<Value = Option<Failure>> {
     prop_oneof![
         Just(None),
