gateway: metrics, bounded log lines written by a thread of their own, settings that change while running

Cause: on-call engineers had no counters; a full pipe on standard output would have stopped the process; SIGHUP was read and ignored.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -94,11 +94,36 @@
 
 /// Answers the balancer's question whether this process takes new connections.
 pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
+    let answer = |node: &Node| {
+        let mut answer = Response::new(Full::new(Bytes::new()));
+        if !node.is_ready() {
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        answer
+    };
+    serve_page(node, listener, answer).await;
+}
+
+/// Serves the metrics of this process.
+pub(crate) async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
+    let answer = |node: &Node| {
+        let page = node.state.borrow().metrics.write();
+        Response::new(Full::new(Bytes::from(page)))
+    };
+    serve_page(node, listener, answer).await;
+}
+
+/// Answers every request with the same page.
+async fn serve_page(
+    node: Rc<Node>,
+    listener: TcpListener,
+    answer: impl Fn(&Node) -> Response<Full<Bytes>> + Copy + 'static,
+) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!(error:% = error; "ready: accept failed");
+                log::warn!(error:% = error; "page: accept failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
@@ -106,18 +131,15 @@
         let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
             let service = service_fn(|_| {
-                let mut answer = Response::new(Full::new(Bytes::new()));
-                if !node.is_ready() {
-                    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-                }
-                async move { Ok::<_, Infallible>(answer) }
+                let page = answer(&node);
+                async move { Ok::<_, Infallible>(page) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(FIRST_IDLE)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
-                log::debug!(error:% = error; "ready: connection ended");
+                log::debug!(error:% = error; "page: connection ended");
             }
         });
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,9 @@
 mod attempt;
 mod directory;
 mod ingress;
+mod journal;
 mod merge;
+mod metrics;
 mod node;
 mod peers;
 mod platform;
@@ -26,6 +28,8 @@
 pub use crate::directory::Directory;
 pub use crate::directory::Endpoint;
 pub use crate::directory::Server;
+pub use crate::journal::LineBudget;
+pub use crate::journal::LineWriter;
 pub use crate::merge::RECORD_BYTES;
 pub use crate::merge::merge_records;
 pub use crate::peers::ChangeLog;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,127 @@
+//! Counters and latency histograms, as text in the format of Prometheus; docs/metrics.md lists them.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use crate::RouteName;
+
+/// Upper edges of the latency buckets, in milliseconds.
+const EDGES_MS: [u64; 14] = [
+    1, 2, 5, 10, 20, 50, 100, 150, 250, 500, 1_000, 2_500, 5_000, 10_000,
+];
+
+macro_rules! counters {
+    ($($name:ident = $label:literal,)+) => {
+        /// Something that is counted.
+        #[derive(Debug, Clone, Copy)]
+        pub(crate) enum Counter {
+            $($name,)+
+        }
+
+        const COUNTERS: &[&str] = &[$($label,)+];
+    };
+}
+
+counters! {
+    RequestWhole = "requests_answered_whole",
+    RequestPartial = "requests_answered_partial",
+    RequestNotRun = "requests_not_run",
+    RequestFailed = "requests_failed",
+    RequestTimedOut = "requests_timed_out",
+    RequestNoRoute = "requests_without_route",
+    RequestLeft = "requests_left_by_caller",
+    AttemptPrimary = "attempts_primary",
+    AttemptHedge = "attempts_hedge",
+    AttemptRetry = "attempts_retry",
+    AttemptNotRun = "attempts_not_run",
+    AttemptLost = "attempts_lost",
+    StoreFailed = "store_calls_failed",
+    RelayLost = "relays_lost",
+    ServerDropped = "servers_dropped",
+    LogSkipped = "log_lines_skipped",
+}
+
+#[derive(Debug, Default)]
+struct Histogram {
+    buckets: [u64; EDGES_MS.len()],
+    count: u64,
+    sum: Duration,
+}
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    counts: [u64; COUNTERS.len()],
+    latencies: BTreeMap<RouteName, Histogram>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics {
+            counts: [0; COUNTERS.len()],
+            latencies: BTreeMap::new(),
+        }
+    }
+}
+
+impl Metrics {
+    pub(crate) fn count(&mut self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    pub(crate) fn add(&mut self, counter: Counter, number: u64) {
+        self.counts[counter as usize] += number;
+    }
+
+    /// Adds the time from a request's head to its answer.
+    pub(crate) fn note_latency(&mut self, route: &RouteName, time: Duration) {
+        let histogram = match self.latencies.get_mut(route) {
+            Some(histogram) => histogram,
+            None => self.latencies.entry(route.clone()).or_default(),
+        };
+        histogram.count += 1;
+        histogram.sum += time;
+        let millis = time.as_millis() as u64;
+        for (bucket, edge) in histogram.buckets.iter_mut().zip(EDGES_MS) {
+            *bucket += u64::from(millis <= edge);
+        }
+    }
+
+    /// Forgets the latencies of routes that no longer exist, so that the page stays small.
+    pub(crate) fn retain_routes(&mut self, mut keep: impl FnMut(&RouteName) -> bool) {
+        self.latencies.retain(|route, _| keep(route));
+    }
+
+    /// Writes the page.
+    pub(crate) fn write(&self) -> String {
+        let mut page = String::new();
+        // Writing to a string can't fail.
+        let _ = self.write_to(&mut page);
+        page
+    }
+
+    fn write_to(&self, page: &mut String) -> std::fmt::Result {
+        for (name, count) in COUNTERS.iter().zip(self.counts) {
+            writeln!(page, "limpetwick_{name}_total {count}")?;
+        }
+        let name = "limpetwick_request_seconds";
+        for (route, histogram) in &self.latencies {
+            for (edge, bucket) in EDGES_MS.iter().zip(histogram.buckets) {
+                let edge = *edge as f64 / 1_000.0;
+                writeln!(
+                    page,
+                    "{name}_bucket{{route=\"{route}\",le=\"{edge}\"}} {bucket}"
+                )?;
+            }
+            let (count, sum) = (histogram.count, histogram.sum.as_secs_f64());
+            writeln!(
+                page,
+                "{name}_bucket{{route=\"{route}\",le=\"+Inf\"}} {count}"
+            )?;
+            writeln!(page, "{name}_sum{{route=\"{route}\"}} {sum}")?;
+            writeln!(page, "{name}_count{{route=\"{route}\"}} {count}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::Directory;
 use crate::Headers;
+use crate::LineBudget;
 use crate::Peer;
 use crate::Peers;
 use crate::Platform;
@@ -24,6 +25,8 @@
 use crate::RouteName;
 use crate::Settings;
 use crate::Table;
+use crate::metrics::Counter;
+use crate::metrics::Metrics;
 use crate::peers::Logs;
 use crate::pool::Pool;
 
@@ -52,6 +55,8 @@
     pub(crate) has_servers: bool,
     /// Whether both the configuration and servers are known.
     pub(crate) is_loaded: bool,
+    pub(crate) metrics: Metrics,
+    pub(crate) lines: LineBudget,
     pub(crate) peers: Peers,
     pub(crate) logs: Logs,
 }
@@ -97,6 +102,8 @@
             deadlines: HashMap::new(),
             has_servers: false,
             is_loaded: false,
+            metrics: Metrics::default(),
+            lines: LineBudget::default(),
             peers: Peers::default(),
             logs: Logs::default(),
         };
@@ -148,6 +155,7 @@
         let names: Vec<RouteName> = table.route_names().cloned().collect();
         self.reply_times.retain(|name, _| names.contains(name));
         self.deadlines.retain(|name, _| names.contains(name));
+        self.metrics.retain_routes(|name| names.contains(name));
         self.limits
             .retain_services(|service| table.services.contains_key(service));
         self.table = Some(Rc::new(table));
@@ -160,6 +168,39 @@
             .record(time);
     }
 
+    /// Tells whether a log line of a kind may be written now, and how many were skipped before it.
+    pub(crate) fn allow_line(&mut self, kind: &'static str) -> Option<u64> {
+        let allowed = self.lines.allow(kind, Instant::now());
+        if allowed.is_none() {
+            self.metrics.count(Counter::LogSkipped);
+        }
+        allowed
+    }
+
+    /// Takes in settings that changed while the process runs; addresses need a new start.
+    pub(crate) fn set_settings(&mut self, settings: Settings) {
+        let old = &self.settings;
+        let addresses = |settings: &Settings| {
+            (
+                settings.front,
+                settings.ready,
+                settings.peer,
+                settings.store,
+            )
+        };
+        if addresses(old) != addresses(&settings) {
+            log::warn!("settings: an address changed, which takes effect at the next start");
+        }
+        log::info!(grace:? = settings.grace, repeats:? = settings.repeats; "settings: in force");
+        let nodes = self.peers.count(|_| true);
+        self.settings = settings;
+        let mut rule = self.settings.repeats;
+        if nodes > 0 {
+            rule.nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        }
+        self.limits.set_repeat_rule(rule);
+    }
+
     /// Takes in the gateways that share servers and the bound of repeats with this one.
     pub(crate) fn set_peers(&mut self, known: Vec<Peer>) {
         self.peers.set(known);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use base::AttemptId;
+use base::Revision;
 use base::ServiceName;
 use bytes::Bytes;
 use http::HeaderValue;
@@ -21,6 +22,7 @@
 use query::Gather;
 use query::GatherEnv;
 use query::Input;
+use query::Kind;
 use query::Order;
 use query::Output;
 use query::Verdict;
@@ -37,6 +39,7 @@
 use crate::attempt::remove_hop_headers;
 use crate::attempt::send_attempt;
 use crate::merge::merge_records;
+use crate::metrics::Counter;
 use crate::node::Node;
 
 /// Time before the objective at which an answer without the last parts leaves, so that it arrives in time.
@@ -86,7 +89,12 @@
         ));
     };
     let route = find_route(&table, &head).ok_or_else(|| {
-        log::info!(id = id.to_str().unwrap_or("?"), revision = table.revision, path = head.uri.path(); "request: no route");
+        let mut state = node.state.borrow_mut();
+        state.metrics.count(Counter::RequestNoRoute);
+        if let Some(skipped) = state.allow_line("no route") {
+            let id = id.to_str().unwrap_or("?");
+            log::info!(id, revision = table.revision, path = head.uri.path(), skipped; "request: no route");
+        }
         reply_error(StatusCode::NOT_FOUND, "no route matches")
     })?;
     let body = match Limited::new(body, table.bounds.body_bytes).collect().await {
@@ -146,6 +154,21 @@
     table.find(host, head.uri.path())
 }
 
+/// Counts the callers that leave before their answer, when the future of their request is dropped.
+struct Waiting<'a> {
+    node: &'a Node,
+    ended: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            let mut state = self.node.state.borrow_mut();
+            state.metrics.count(Counter::RequestLeft);
+        }
+    }
+}
+
 /// Drives the state machine of one request.
 struct Run<'a> {
     node: &'a Rc<Node>,
@@ -159,10 +182,18 @@
     sent: HashMap<AttemptId, Instant>,
     /// Why the latest sub-request failed.
     reason: &'static str,
+    revision: Revision,
 }
 
 async fn run(node: &Rc<Node>, route: Rc<Route>, outgoing: Outgoing, objective: Instant) -> Answer {
     let started = Instant::now();
+    let revision = node
+        .state
+        .borrow()
+        .table
+        .as_ref()
+        .map_or(0, |table| table.revision);
+    let mut waiting = Waiting { node, ended: false };
     let (events, mut received) = mpsc::unbounded_channel();
     let mut gather = Gather::new(make_order(node, &route, &outgoing, objective));
     let mut run = Run {
@@ -175,6 +206,7 @@
         failure: None,
         sent: HashMap::new(),
         reason: "none",
+        revision,
     };
     let mut input = Input::Start;
     let verdict = loop {
@@ -191,6 +223,7 @@
             () = tokio::time::sleep_until(wake.into()) => Input::Wake,
         };
     };
+    waiting.ended = true;
     run.log(&verdict, &gather, started);
     run.finish(verdict)
 }
@@ -256,13 +289,27 @@
         let mut verdict = None;
         for output in outputs {
             match output {
-                Output::Send { id, permit, .. } => self.send(id, permit, now),
+                Output::Send {
+                    id, kind, permit, ..
+                } => {
+                    self.count_attempt(kind);
+                    self.send(id, permit, now);
+                }
                 Output::Finish(end) => verdict = Some(end),
             }
         }
         verdict
     }
 
+    fn count_attempt(&self, kind: Kind) {
+        let counter = match kind {
+            Kind::Primary => Counter::AttemptPrimary,
+            Kind::Hedge => Counter::AttemptHedge,
+            Kind::Retry => Counter::AttemptRetry,
+        };
+        self.node.state.borrow_mut().metrics.count(counter);
+    }
+
     fn send(&mut self, id: AttemptId, permit: Permit, now: Instant) {
         if self.node.state.borrow().limits.is_near(permit.key()) {
             self.sent.insert(id, now);
@@ -294,28 +341,45 @@
             }
             Err(lost) => {
                 self.reason = lost.reason;
+                let counter = if lost.failure.proves_not_run() {
+                    Counter::AttemptNotRun
+                } else {
+                    Counter::AttemptLost
+                };
+                self.node.state.borrow_mut().metrics.count(counter);
                 Input::Failed(id, lost.failure)
             }
         }
     }
 
+    /// Counts and logs how the request ended, with what decided it.
     fn log(&self, verdict: &Verdict, gather: &Gather, started: Instant) {
-        let id = self.outgoing.id.to_str().unwrap_or("?");
-        let route = self.route.name.as_str();
-        let ms = started.elapsed().as_millis() as u64;
-        let sent = gather.sent();
-        let reason = self.reason;
-        match verdict {
-            Verdict::Answered { missing: 0, .. } => {
-                log::debug!(id, route, ms, sent; "request: answered");
-            }
-            Verdict::Answered { missing, .. } => {
-                log::info!(id, route, ms, sent, missing, reason; "request: partial");
-            }
-            Verdict::NotRun => log::info!(id, route, ms, sent, reason; "request: not run"),
-            Verdict::Failed => log::info!(id, route, ms, sent, reason; "request: failed"),
-            Verdict::TimedOut => log::info!(id, route, ms, sent, reason; "request: timed out"),
+        let (kind, counter) = match verdict {
+            Verdict::Answered { missing: 0, .. } => ("whole", Counter::RequestWhole),
+            Verdict::Answered { .. } => ("partial", Counter::RequestPartial),
+            Verdict::NotRun => ("not run", Counter::RequestNotRun),
+            Verdict::Failed => ("failed", Counter::RequestFailed),
+            Verdict::TimedOut => ("timed out", Counter::RequestTimedOut),
+        };
+        let missing = match verdict {
+            Verdict::Answered { missing, .. } => *missing,
+            Verdict::NotRun | Verdict::Failed | Verdict::TimedOut => gather.order().services.len(),
+        };
+        let took = started.elapsed();
+        let mut state = self.node.state.borrow_mut();
+        state.metrics.count(counter);
+        state.metrics.note_latency(&self.route.name, took);
+        if kind == "whole" {
+            return;
         }
+        let Some(skipped) = state.allow_line(kind) else {
+            return;
+        };
+        let id = self.outgoing.id.to_str().unwrap_or("?");
+        let (route, reason) = (self.route.name.as_str(), self.reason);
+        let (sent, ms) = (gather.sent(), took.as_millis() as u64);
+        let revision = self.revision;
+        log::info!(id, route, revision, ms, sent, missing, reason, skipped; "request: {kind}");
     }
 
     fn finish(mut self, verdict: Verdict) -> Answer {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,6 +20,7 @@
 use crate::Platform;
 use crate::Settings;
 use crate::ingress::serve_callers;
+use crate::ingress::serve_metrics;
 use crate::ingress::serve_ready;
 use crate::node::Node;
 use crate::relay::serve_peers;
@@ -66,11 +67,13 @@
 
 /// Runs a gateway until `stop` completes, and ends the requests in progress within the grace period.
 ///
+/// Settings that change meanwhile come into force as far as they need no new start.
+///
 /// # Errors
 ///
 /// Returns which address can't be listened on.
 pub async fn run_gateway(
-    settings: Settings,
+    settings: watch::Receiver<Settings>,
     platform: Box<dyn Platform>,
     seed: u64,
     stop: impl Future<Output = ()>,
@@ -80,11 +83,12 @@
 }
 
 async fn serve(
-    settings: Settings,
+    mut changes: watch::Receiver<Settings>,
     platform: Box<dyn Platform>,
     seed: u64,
     stop: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
+    let settings = changes.borrow_and_update().clone();
     let front = listen(settings.front).context(ListenSnafu {
         addr: settings.front,
     })?;
@@ -94,7 +98,7 @@
     let peer = listen(settings.peer).context(ListenSnafu {
         addr: settings.peer,
     })?;
-    let grace = settings.grace;
+    let metrics = settings.metrics;
     let client = Client::new(ClientOptions {
         platform: settings.store,
         timeout: STORE_TIMEOUT,
@@ -117,11 +121,29 @@
     for kind in [Kind::Configuration, Kind::Servers] {
         tokio::task::spawn_local(follow(Rc::clone(&node), client.clone(), kind));
     }
+    tokio::task::spawn_local(follow_settings(Rc::clone(&node), changes));
+    if let Some(addr) = metrics {
+        match listen(addr) {
+            Ok(listener) => {
+                tokio::task::spawn_local(serve_metrics(Rc::clone(&node), listener));
+            }
+            // Requests go before metrics, so that the process starts without them.
+            Err(error) => log::warn!(addr:% = addr, reason:% = error; "metrics: not served"),
+        }
+    }
     stop.await;
+    let grace = node.state.borrow().settings.grace;
     drain(&node, &close, grace).await;
     Ok(())
 }
 
+async fn follow_settings(node: Rc<Node>, mut changes: watch::Receiver<Settings>) {
+    while changes.changed().await.is_ok() {
+        let settings = changes.borrow_and_update().clone();
+        node.state.borrow_mut().set_settings(settings);
+    }
+}
+
 /// Lets the balancer notice, then closes idle connections and waits for the requests in progress.
 async fn drain(node: &Node, close: &watch::Sender<bool>, grace: Duration) {
     let began = Instant::now();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub ready: SocketAddr,
     /// Address for other gateways.
     pub peer: SocketAddr,
+    /// Address on which metrics are served, if they are.
+    pub metrics: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -19,6 +19,7 @@
 use crate::Snapshot;
 use crate::StoreVersion;
 use crate::Value;
+use crate::metrics::Counter;
 use crate::node::Node;
 use crate::node::State;
 use crate::relay::Link;
@@ -139,6 +140,7 @@
             Err(Trouble::Failed(reason)) => {
                 log::warn!(kind:? = kind, since:? = since, reason = reason.as_str(); "store: call failed");
                 away = Some(Instant::now());
+                node.state.borrow_mut().metrics.count(Counter::StoreFailed);
                 if failures >= LOST_FAILURES || began.elapsed() > STILL_TIME {
                     if let Some(log) = node.state.borrow_mut().logs.get_mut(kind) {
                         log.note_failure();
@@ -196,6 +198,7 @@
             };
             log::info!(relay = relay.node.as_str(), kind:? = kind, since:? = since, reason; "relay: lost");
             let mut state = node.state.borrow_mut();
+            state.metrics.count(Counter::RelayLost);
             state.peers.pass_over(&relay.node, &answer, Instant::now());
             return Err(match answer {
                 Passed::Silent => Lost::Silent,
@@ -505,6 +508,7 @@
 
 fn close_dropped(state: &mut State, change: Change) {
     if let Change::Dropped(key) = change {
+        state.metrics.count(Counter::ServerDropped);
         state.pool.remove(key);
     }
 }
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -30,6 +30,7 @@
             front: addr,
             ready: addr,
             peer: addr,
+            metrics: None,
             store: addr,
             grace: Duration::from_secs(6),
             repeats: RepeatRule {
