--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, from its head to its answer.
 
 use std::collections::HashMap;
+use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -51,6 +52,9 @@
 /// Longest time for which a request waits for a process that has just started to learn its configuration.
 const LOAD_TIME: Duration = Duration::from_millis(700);
 
+/// Services without a part that a log line names.
+const MAX_NAMED: usize = 4;
+
 /// Time after which a caller is asked to come back when no server could take its request.
 const RETRY_AFTER: &str = "0.2";
 
@@ -379,7 +383,9 @@
         let (route, reason) = (self.route.name.as_str(), self.reason);
         let (sent, ms) = (gather.sent(), took.as_millis() as u64);
         let revision = self.revision;
-        log::info!(id, route, revision, ms, sent, missing, reason, skipped; "request: {kind}");
+        let open = describe_open(gather);
+        let open = open.as_str();
+        log::info!(id, route, revision, ms, sent, missing, open, reason, skipped; "request: {kind}");
     }
 
     fn finish(mut self, verdict: Verdict) -> Answer {
@@ -442,6 +448,21 @@
     }
 }
 
+/// Names the first services without a part, each with the sub-requests sent to it and those still awaited.
+fn describe_open(gather: &Gather) -> String {
+    let mut text = String::new();
+    for open in gather.open_services().iter().take(MAX_NAMED) {
+        let separator = if text.is_empty() { "" } else { "," };
+        // Writing to a string can't fail.
+        let _ = write!(
+            text,
+            "{separator}{}:{}/{}",
+            open.service, open.sent, open.awaited
+        );
+    }
+    text
+}
+
 fn pass_reply(reply: Reply) -> Answer {
     let mut answer = Response::new(Full::new(reply.body));
     *answer.status_mut() = reply.status;
--- a/crates/limpetwick/src/flags.rs
+++ b/crates/limpetwick/src/flags.rs
@@ -83,6 +83,18 @@
             optional file: PathBuf
         }
 
+        /// Shows what the logs of gateways say about one request, and what they logged before it.
+        ///
+        /// Exit codes: 0 found, 2 no line names the request or a file cannot be read.
+        ///
+        /// Example: limpetwick trace f1e6513fa9742ff7 front-lug-a-3.log front-lug-a-4.log
+        cmd trace {
+            /// Id that the caller sent with the request.
+            required id: String
+            /// Log of a gateway; give it once for each.
+            repeated files: PathBuf
+        }
+
         /// Prints the OpenAPI description of the API for callers and operators.
         ///
         /// Example: limpetwick openapi > docs/openapi.json
--- a/crates/limpetwick/src/lib.rs
+++ b/crates/limpetwick/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod http;
 pub mod publish;
 pub mod status;
+pub mod trace;
--- a/crates/limpetwick/src/main.rs
+++ b/crates/limpetwick/src/main.rs
@@ -36,6 +36,7 @@
 use limpetwick::publish::PublishArgs;
 use limpetwick::publish::run_publish;
 use limpetwick::status::show_status;
+use limpetwick::trace::trace_request;
 use store::Client;
 use store::ClientOptions;
 
@@ -74,6 +75,7 @@
         LimpetwickCmd::Publish(args) => finish(run_publish(publish_args(args), &mut out).await),
         LimpetwickCmd::Status(args) => finish(show_status(args.entry, args.json, &mut out).await),
         LimpetwickCmd::Explain(args) => finish(explain_file(args.file.as_deref(), &mut out)),
+        LimpetwickCmd::Trace(args) => finish(trace_request(&args.id, &args.files, &mut out)),
         LimpetwickCmd::Openapi(_) => print_openapi(&mut out),
         LimpetwickCmd::Demo(args) => report(lab::demo::run_demo(args.json).await),
         LimpetwickCmd::Lab(lab) => match lab.subcommand {
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -120,6 +120,17 @@
     TimedOut,
 }
 
+/// A service that has given no part.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OpenService<'a> {
+    /// Name of the service.
+    pub service: &'a ServiceName,
+    /// Sub-requests sent to it; none if it has no server that may be sent to.
+    pub sent: u32,
+    /// Sub-requests whose replies are still awaited.
+    pub awaited: usize,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Progress {
     Open,
@@ -180,6 +191,21 @@
         self.shards.iter().map(|shard| shard.sent).sum()
     }
 
+    /// Returns the services without a part, for the log line of a request that lacks some.
+    pub fn open_services(&self) -> Vec<OpenService<'_>> {
+        self.order
+            .services
+            .iter()
+            .zip(&self.shards)
+            .filter(|(_, shard)| !matches!(shard.progress, Progress::Done(_)))
+            .map(|(service, shard)| OpenService {
+                service,
+                sent: shard.sent,
+                awaited: shard.live.len(),
+            })
+            .collect()
+    }
+
     /// Returns when the machine wants [`Input::Wake`], unless it has ended.
     pub fn next_wake(&self) -> Option<Instant> {
         if self.done {
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -109,6 +109,7 @@
 pub use crate::gather::Gather;
 pub use crate::gather::GatherEnv;
 pub use crate::gather::Input;
+pub use crate::gather::OpenService;
 pub use crate::gather::Order;
 pub use crate::gather::Output;
 pub use crate::gather::Verdict;
