--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -3,6 +3,9 @@
 use std::collections::HashMap;
 use std::io;
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
@@ -18,6 +21,9 @@
 /// Lines that wait to be written; when a reader is slower than that, lines are dropped.
 const QUEUE: usize = 512;
 
+/// Pause between two looks at the lines that are left.
+const DRAIN_POLL: Duration = Duration::from_millis(1);
+
 #[derive(Debug)]
 struct Kind {
     began: Instant,
@@ -56,6 +62,23 @@
 #[derive(Debug)]
 pub struct LineWriter {
     lines: SyncSender<Vec<u8>>,
+    queued: Arc<AtomicUsize>,
+}
+
+/// Waits for the lines of a [`LineWriter`], at the end of a process.
+#[derive(Debug)]
+pub struct LineDrain {
+    queued: Arc<AtomicUsize>,
+}
+
+impl LineDrain {
+    /// Waits until every line is written, but no longer than `time`.
+    pub fn wait(&self, time: Duration) {
+        let end = Instant::now() + time;
+        while self.queued.load(Ordering::Acquire) > 0 && Instant::now() < end {
+            std::thread::sleep(DRAIN_POLL);
+        }
+    }
 }
 
 impl LineWriter {
@@ -64,25 +87,38 @@
     /// # Errors
     ///
     /// Returns why the system gave no thread.
-    pub fn start(mut output: impl Write + Send + 'static) -> io::Result<LineWriter> {
+    pub fn start(mut output: impl Write + Send + 'static) -> io::Result<(LineWriter, LineDrain)> {
         let (lines, queue) = sync_channel::<Vec<u8>>(QUEUE);
+        let queued = Arc::new(AtomicUsize::new(0));
+        let written = Arc::clone(&queued);
         std::thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || {
                 while let Ok(line) = queue.recv() {
                     // Nobody is left to tell when the output is closed.
                     let _ = output.write_all(&line).and_then(|()| output.flush());
+                    written.fetch_sub(1, Ordering::Release);
                 }
             })?;
-        Ok(LineWriter { lines })
+        let drain = LineDrain {
+            queued: Arc::clone(&queued),
+        };
+        Ok((LineWriter { lines, queued }, drain))
     }
 }
 
 impl Write for LineWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.queued.fetch_add(1, Ordering::Acquire);
         match self.lines.try_send(bytes.to_vec()) {
-            Ok(()) | Err(TrySendError::Full(_)) => Ok(bytes.len()),
-            Err(TrySendError::Disconnected(_)) => Err(io::ErrorKind::BrokenPipe.into()),
+            Ok(()) => Ok(bytes.len()),
+            Err(error) => {
+                self.queued.fetch_sub(1, Ordering::Release);
+                match error {
+                    TrySendError::Full(_) => Ok(bytes.len()),
+                    TrySendError::Disconnected(_) => Err(io::ErrorKind::BrokenPipe.into()),
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub use crate::directory::Endpoint;
 pub use crate::directory::Server;
 pub use crate::journal::LineBudget;
+pub use crate::journal::LineDrain;
 pub use crate::journal::LineWriter;
 pub use crate::merge::RECORD_BYTES;
 pub use crate::merge::merge_records;
--- a/crates/gateway/tests/journal.rs
+++ b/crates/gateway/tests/journal.rs
@@ -39,7 +39,7 @@
 #[test]
 fn stuck_reader_doesn_t_block() {
     let (release, stuck) = channel();
-    let mut writer = LineWriter::start(Stuck(stuck)).unwrap();
+    let (mut writer, _drain) = LineWriter::start(Stuck(stuck)).unwrap();
     for _ in 0..10_000 {
         writer.write_all(b"line\n").unwrap();
     }
