limit: leave replies that waited for a pause out of the mean

Ruled out: hedges (1,781 of 8,856 far sub-requests). Change: limit::steady; late replies count only from the second silence in a row that ends with one.

--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -12,6 +12,7 @@
 use crate::Tuning;
 use crate::latency::Latency;
 use crate::queueing::Queueing;
+use crate::steady::Steady;
 
 /// Time over which a cold upstream is given its full concurrency.
 const RAMP: Duration = Duration::from_secs(5);
@@ -44,7 +45,7 @@
 const MAX_WAITERS: usize = 1_000;
 
 /// Weight of a new reply time in the moving mean.
-const MEAN_WEIGHT: f32 = 0.2;
+pub(crate) const MEAN_WEIGHT: f32 = 0.2;
 
 /// Time after which a mean counts half in [`Gate::fading_mean`].
 ///
@@ -129,6 +130,7 @@
     pending: Vec<Instant>,
     trouble: f32,
     troubled: Option<Instant>,
+    steady: Steady,
 }
 
 impl Gate {
@@ -158,6 +160,7 @@
             pending: Vec::new(),
             trouble: 0.0,
             troubled: None,
+            steady: Steady::default(),
         }
     }
 
@@ -316,6 +319,10 @@
             self.pending.swap_remove(at);
         }
         self.note_trouble(ending, now);
+        if matches!(ending, Ending::Replied | Ending::Cancelled) {
+            let ended_silence = ending == Ending::Replied && self.is_unheard(sent);
+            self.steady.note(sent, ended_silence, now);
+        }
         if trial {
             self.trial = false;
         }
@@ -392,10 +399,10 @@
     ///
     /// An old mean approaches `usual`, so that an upstream that was slow is tried again.
     pub(crate) fn fading_mean(&self, usual: Duration, now: Instant) -> Option<Duration> {
-        let age = now.saturating_duration_since(self.last_reply?);
+        let age = now.saturating_duration_since(self.steady.updated?);
         let weight = halve_each(FADE_MEAN, age);
         let usual_us = usual.as_micros() as f32;
-        let mean_us = usual_us + (self.mean_us - usual_us) * weight;
+        let mean_us = usual_us + (self.steady.mean_us - usual_us) * weight;
         Some(Duration::from_micros(mean_us as u64))
     }
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -50,6 +50,7 @@
 mod pick;
 mod queueing;
 mod repeat;
+mod steady;
 mod tuning;
 
 pub use crate::admission::Admission;
