--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     pub store: SocketAddr,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Time within which a configuration is to be in force.
+    pub apply: Duration,
     /// Bound of repeated sub-requests over all VMs.
     pub repeats: RepeatRule,
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -24,11 +24,15 @@
 use crate::node::State;
 use crate::relay::Link;
 
-/// Longest wait of one watch; a connection that fell silent is noticed after it.
-const WATCH_TIME: Duration = Duration::from_millis(1_100);
+/// Longest wait of one watch, as a part of the time in which a configuration is to be in force.
+///
+/// A connection that fell silent is noticed after it and the time-out of a call, and the peers of a relay have to ask the
+/// store after that.
+const WATCH_PART: f64 = 0.45;
 
-/// Time after a change in which further ones are left to the next watch, because each call has its price.
-const BATCH_TIME: Duration = Duration::from_millis(500);
+/// Time after a change in which further ones are left to the next watch, because each call has its price, as a part of the
+/// same time.
+const BATCH_PART: f64 = 0.16;
 
 /// Time from a first failed call to the next one; it doubles with each further failure, and a random part of the same
 /// length comes on top.
@@ -37,9 +41,6 @@
 /// Longest such time. The whole fleet calls a store that is down, and each call has its price, also a refused one.
 const MAX_RETRY_TIME: Duration = Duration::from_millis(1_600);
 
-/// Length of a failed call from which on the store may have been lost for all that time.
-const STILL_TIME: Duration = Duration::from_millis(1_400);
-
 /// Relays that may be unsure one after the other before the store is asked.
 const MAX_UNSURE: u32 = 1;
 
@@ -82,6 +83,8 @@
 /// Follows one kind of object until the process ends.
 pub(crate) async fn follow(node: Rc<Node>, client: Client, kind: Kind) {
     wait_for_peers(&node).await;
+    let apply = node.state.borrow().settings.apply;
+    let (watch_time, batch_time) = (apply.mul_f64(WATCH_PART), apply.mul_f64(BATCH_PART));
     let mut link = Link::default();
     let mut since = None;
     let mut away: Option<Instant> = None;
@@ -116,7 +119,7 @@
             (None, Source::Store) => list(&node, &client, kind, away).await,
             (Some(version), Source::Store) => {
                 // A call that may wait would show only after its whole wait that a silent store still is silent.
-                let wait = if prompt { Duration::ZERO } else { WATCH_TIME };
+                let wait = if prompt { Duration::ZERO } else { watch_time };
                 watch(&node, &client, kind, version, wait, away).await
             }
         };
@@ -130,7 +133,7 @@
                 }
                 since = Some(version);
                 if changed {
-                    tokio::time::sleep(BATCH_TIME).await;
+                    tokio::time::sleep(batch_time).await;
                 }
             }
             Err(Trouble::HistoryGone) => {
@@ -141,7 +144,7 @@
                 log::warn!(kind:? = kind, since:? = since, reason = reason.as_str(); "store: call failed");
                 away = Some(Instant::now());
                 node.state.borrow_mut().metrics.count(Counter::StoreFailed);
-                if failures >= LOST_FAILURES || began.elapsed() > STILL_TIME {
+                if failures >= LOST_FAILURES || began.elapsed() > watch_time {
                     if let Some(log) = node.state.borrow_mut().logs.get_mut(kind) {
                         log.note_failure();
                     }
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -33,6 +33,7 @@
             metrics: None,
             store: addr,
             grace: Duration::from_secs(6),
+            apply: Duration::from_secs(3),
             repeats: RepeatRule {
                 ratio: 0.2,
                 slack: 100.0,
