limit, gateway: learn round trips from connections; one accept loop for callers, pages and peers

Cause: the ways between regions were constants of the two sites, though deployments differ; three accept loops were alike. Ruled out: the reply times as a source, which hold work and queueing too. Change: Trips moves by a tenth with each new connection; gateway::accept. Expect is not passed on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -118,7 +118,7 @@
     };
     let mut connection = match take_idle(node, outgoing, key) {
         Some(connection) => connection,
-        None => open(endpoint.addr, outgoing.repeatable).await?,
+        None => open(node, key, endpoint.addr, outgoing.repeatable).await?,
     };
     let request = build_request(node, outgoing, endpoint.id.as_str())?;
     let response = match connection.sender.try_send_request(request).await {
@@ -163,15 +163,22 @@
 ///
 /// A server that has too many connections resets a new one a round trip after it seemed open. A request that was sent
 /// meanwhile might have run, for all that can be seen.
-async fn open(addr: SocketAddr, repeatable: bool) -> Result<Connection, Lost> {
+async fn open(
+    node: &Node,
+    key: GateKey,
+    addr: SocketAddr,
+    repeatable: bool,
+) -> Result<Connection, Lost> {
     let began = Instant::now();
     let connection = match tokio::time::timeout(CONNECT_TIME, connect(addr)).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(_)) => return lose(Failure::Refused, "the connection was refused"),
         Err(_) => return lose(Failure::Unreachable, "no connection in time"),
     };
+    let trip = began.elapsed();
+    node.state.borrow_mut().limits.note_trip(key, trip);
     if !repeatable {
-        tokio::time::sleep(began.elapsed() + SETTLE_TIME).await;
+        tokio::time::sleep(trip + SETTLE_TIME).await;
         if connection.sender.is_closed() {
             return lose(
                 Failure::Refused,
@@ -262,8 +269,9 @@
 
 /// Removes the headers that concern one connection only, and those that `Connection` names.
 pub(crate) fn remove_hop_headers(headers: &mut HeaderMap) {
-    const HOP: [&str; 8] = [
+    const HOP: [&str; 9] = [
         "connection",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Connections of callers, and of the balancer that asks whether this process is ready.
 
 use std::convert::Infallible;
+use std::future::ready;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::accept::accept_each;
+use crate::accept::serve_each;
 use crate::node::Node;
 use crate::request::handle_request;
 
@@ -29,28 +32,17 @@
 /// Least that hyper takes as the size of a buffer.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Pause after an error of `accept`, such as a lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Accepts callers until the process ends; `closing` turns true when idle connections are to be closed.
 pub(crate) async fn serve_callers(
     node: Rc<Node>,
     listener: TcpListener,
     closing: watch::Receiver<bool>,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let node = Rc::clone(&node);
-                let closing = closing.clone();
-                tokio::task::spawn_local(serve_caller(node, stream, closing));
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "ingress: accept failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_each(listener, |stream| {
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(serve_caller(node, stream, closing.clone()));
+    })
+    .await;
 }
 
 async fn serve_caller(node: Rc<Node>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
@@ -94,53 +86,21 @@
 
 /// Answers the balancer's question whether this process takes new connections.
 pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
-    let answer = |node: &Node| {
+    serve_each(listener, move |_| {
         let mut answer = Response::new(Full::new(Bytes::new()));
         if !node.is_ready() {
             *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
-        answer
-    };
-    serve_page(node, listener, answer).await;
+        ready(answer)
+    })
+    .await;
 }
 
 /// Serves the metrics of this process.
 pub(crate) async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
-    let answer = |node: &Node| {
+    serve_each(listener, move |_| {
         let page = node.state.borrow().metrics.write();
-        Response::new(Full::new(Bytes::from(page)))
-    };
-    serve_page(node, listener, answer).await;
-}
-
-/// Answers every request with the same page.
-async fn serve_page(
-    node: Rc<Node>,
-    listener: TcpListener,
-    answer: impl Fn(&Node) -> Response<Full<Bytes>> + Copy + 'static,
-) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:% = error; "page: accept failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let node = Rc::clone(&node);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|_| {
-                let page = answer(&node);
-                async move { Ok::<_, Infallible>(page) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(FIRST_IDLE)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "page: connection ended");
-            }
-        });
-    }
+        ready(Response::new(Full::new(Bytes::from(page))))
+    })
+    .await;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `sync` follows the configuration and the [`Directory`] of servers in the platform's store. Names and formats of a
 //! platform come from outside, through [`Platform`]. See docs/decisions/0005-platform.md.
 
+mod accept;
 mod attempt;
 mod directory;
 mod ingress;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,5 @@
 //! The calls between gateways: one asks another for the changes in the store.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,16 +11,13 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 
 use crate::Kind;
 use crate::Passed;
 use crate::Snapshot;
 use crate::StoreVersion;
+use crate::accept::serve_each;
 use crate::node::Node;
 use crate::pool::Connection;
 use crate::pool::connect;
@@ -35,12 +31,6 @@
 /// Longest time to wait for a connection to a relay, which is in the same zone.
 const CONNECT_TIME: Duration = Duration::from_millis(150);
 
-/// Time for which a connection of a peer may be idle.
-const IDLE_TIME: Duration = Duration::from_secs(10);
-
-/// Pause after an error of `accept`, such as a lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// A connection to a relay.
 #[derive(Debug, Default)]
 pub(crate) struct Link {
@@ -97,32 +87,11 @@
 
 /// Answers other gateways until the process ends.
 pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:% = error; "relay: accept failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    serve_each(listener, move |request| {
         let node = Rc::clone(&node);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|request: Request<hyper::body::Incoming>| {
-                let node = Rc::clone(&node);
-                async move {
-                    Ok::<_, Infallible>(answer(&node, request.method(), request.uri().path()).await)
-                }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIME)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "relay: connection ended");
-            }
-        });
-    }
+        async move { answer(&node, request.method(), request.uri().path()).await }
+    })
+    .await;
 }
 
 /// Waits until there are changes or the time is over, and gives up at once when the store is lost.
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -25,6 +25,7 @@
 use crate::Gate;
 use crate::Tuning;
 use crate::budget::Reserve;
+use crate::near::Trips;
 use crate::repeat::RepeatBudget;
 use crate::repeat::RepeatRule;
 
@@ -75,6 +76,7 @@
     budgets: BTreeMap<ServiceName, Budget>,
     reserve: Reserve,
     repeat_rule: Option<RepeatRule>,
+    pub(crate) trips: Trips,
     repeats: BTreeMap<ServiceName, RepeatBudget>,
     freed: VecDeque<GateKey>,
 }
@@ -91,6 +93,7 @@
             budgets: BTreeMap::new(),
             reserve: Reserve::default(),
             repeat_rule: None,
+            trips: Trips::default(),
             repeats: BTreeMap::new(),
             freed: VecDeque::new(),
         }
--- a/crates/limit/src/near.rs
+++ b/crates/limit/src/near.rs
@@ -12,10 +12,10 @@
 use crate::GateKey;
 use crate::Limits;
 
-/// Round trip to another zone of the region.
+/// Round trip to another zone of the region, before one was seen.
 pub(crate) const REGION_TRIP: Duration = Duration::from_millis(2);
 
-/// Round trip to another region.
+/// Round trip to another region, before one was seen.
 pub(crate) const FAR_TRIP: Duration = Duration::from_millis(24);
 
 /// Added to the estimate of a server that stands still: longer than any server is expected to pause.
@@ -27,6 +27,15 @@
 /// Largest random part of an estimate, so that equal servers are used in turn.
 const JITTER: f32 = 0.2;
 
+/// Weight of a new round trip.
+const TRIP_WEIGHT: f32 = 0.1;
+
+/// Multiple of the known round trip above which a new one counts no further.
+const TRIP_GROWTH: u32 = 2;
+
+/// Added to that bound, so that a trip can be learned that was taken for none.
+const MIN_TRIP: Duration = Duration::from_millis(2);
+
 /// Usual reply times without any sign of life after which a server counts as standing still.
 const STALL_FACTOR: u32 = 2;
 
@@ -58,7 +67,8 @@
                 continue;
             }
             let jitter = 1.0 + JITTER * rng.random::<f32>();
-            let cost = estimate(gate, usual, now).as_secs_f32() * jitter;
+            let trip = self.trips.of(gate.distance());
+            let cost = estimate(gate, trip, usual, now).as_secs_f32() * jitter;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
@@ -68,7 +78,16 @@
 
     /// Returns the time that the way to an upstream and back adds to a reply.
     pub fn trip(&self, key: GateKey) -> Duration {
-        self.gate(key).map_or(Duration::ZERO, find_trip)
+        self.gate(key)
+            .map_or(Duration::ZERO, |gate| self.trips.of(gate.distance()))
+    }
+
+    /// Takes in how long the opening of a connection took, which is one round trip.
+    pub fn note_trip(&mut self, key: GateKey, time: Duration) {
+        if let Some(gate) = self.gates.get(key) {
+            let distance = gate.distance();
+            self.trips.note(distance, time);
+        }
     }
 
     /// Tells whether an upstream is in the node's own availability zone.
@@ -78,16 +97,48 @@
     }
 }
 
-fn find_trip(gate: &Gate) -> Duration {
-    match gate.distance() {
-        Distance::Zone => Duration::ZERO,
-        Distance::Region => REGION_TRIP,
-        Distance::Far => FAR_TRIP,
+/// Round trips as they were seen, by distance.
+#[derive(Debug, Clone)]
+pub(crate) struct Trips {
+    zone: Duration,
+    region: Duration,
+    far: Duration,
+}
+
+impl Default for Trips {
+    fn default() -> Trips {
+        Trips {
+            zone: Duration::ZERO,
+            region: REGION_TRIP,
+            far: FAR_TRIP,
+        }
+    }
+}
+
+impl Trips {
+    /// Returns what the way adds to that within the own zone.
+    fn of(&self, distance: Distance) -> Duration {
+        match distance {
+            Distance::Zone => Duration::ZERO,
+            Distance::Region => self.region.saturating_sub(self.zone),
+            Distance::Far => self.far.saturating_sub(self.zone),
+        }
+    }
+
+    /// Moves towards a new time; a time that is far above what is known is a lost packet or a full queue.
+    fn note(&mut self, distance: Distance, time: Duration) {
+        let known = match distance {
+            Distance::Zone => &mut self.zone,
+            Distance::Region => &mut self.region,
+            Distance::Far => &mut self.far,
+        };
+        let bounded = time.min(*known * TRIP_GROWTH + MIN_TRIP);
+        *known = known.mul_f32(1.0 - TRIP_WEIGHT) + bounded.mul_f32(TRIP_WEIGHT);
     }
 }
 
-fn estimate(gate: &Gate, usual: Duration, now: Instant) -> Duration {
-    let expected = usual + find_trip(gate);
+fn estimate(gate: &Gate, trip: Duration, usual: Duration, now: Instant) -> Duration {
+    let expected = usual + trip;
     let mean = gate.fading_mean(expected, now).unwrap_or(expected);
     let load = gate.in_flight() as f32 / gate.slots() as f32;
     let mut cost = mean.mul_f32(1.0 + load) + TROUBLE.mul_f32(gate.trouble(now));
--- a/crates/limit/tests/near.rs
+++ b/crates/limit/tests/near.rs
@@ -138,6 +138,30 @@
     assert!(count_first(&limits, &keys, now + ms(2_000)) > 0);
 }
 
+/// Guards against a deployment whose regions are nearer, or farther, than the first one's.
+#[test]
+fn way_to_other_regions_is_learned() {
+    let (mut limits, keys) = create(&["zurich", "lugano"]);
+    for _ in 0..100 {
+        limits.note_trip(keys[1], ms(80));
+    }
+    assert!(
+        (ms(76)..ms(81)).contains(&limits.trip(keys[1])),
+        "{:?}",
+        limits.trip(keys[1])
+    );
+    for _ in 0..100 {
+        limits.note_trip(keys[1], ms(6));
+        limits.note_trip(keys[0], ms(1));
+    }
+    assert!(
+        (ms(4)..ms(7)).contains(&limits.trip(keys[1])),
+        "{:?}",
+        limits.trip(keys[1])
+    );
+    assert_eq!(limits.trip(keys[0]), Duration::ZERO);
+}
+
 /// Guards against one of several equal servers getting everything.
 #[test]
 fn equal_servers_are_used_in_turn() {
