gateway: a process that the store turns away learns of the others from its seeds

Ruled out: the relays, which had the configuration after 0.1 s. Change: the control address serves the list of gateways; a gateway that can't list the store asks its seeds.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -66,6 +66,27 @@
             .count()
     }
 
+    /// Writes the gateways for one that can't list them in the store, one a line.
+    pub fn write(&self) -> String {
+        self.known
+            .iter()
+            .map(|peer| format!("{} {} {}\n", peer.node, peer.zone, peer.addr))
+            .collect()
+    }
+
+    /// Reads what [`Peers::write`] wrote; lines that aren't of that form are left out.
+    pub fn read(text: &str) -> Vec<Peer> {
+        let read_line = |line: &str| {
+            let mut words = line.split(' ');
+            Some(Peer {
+                node: words.next()?.into(),
+                zone: words.next()?.into(),
+                addr: words.next()?.parse().ok()?,
+            })
+        };
+        text.lines().filter_map(read_line).collect()
+    }
+
     /// Tells whether no gateway is known.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,8 @@
 
 use crate::Kind;
 use crate::Passed;
+use crate::Peer;
+use crate::Peers;
 use crate::Snapshot;
 use crate::StoreVersion;
 use crate::accept::serve_each;
@@ -28,6 +30,12 @@
 /// Time beyond [`POLL_TIME`] after which a relay counts as silent.
 const POLL_MARGIN: Duration = Duration::from_millis(250);
 
+/// Path of the list of all gateways.
+const PEERS_PATH: &str = "/peers";
+
+/// Longest time to wait for the answer of one seed, which may be in another region, or gone.
+const SEED_TIME: Duration = Duration::from_millis(200);
+
 /// Longest time to wait for a connection to a relay, which is in the same zone.
 const CONNECT_TIME: Duration = Duration::from_millis(150);
 
@@ -85,6 +93,27 @@
     }
 }
 
+/// Asks the gateways of the settings for all others; returns the first answer that names any.
+pub(crate) async fn ask_seeds(seeds: &[SocketAddr]) -> Vec<Peer> {
+    for seed in seeds {
+        let asked = tokio::time::timeout(SEED_TIME, ask_seed(*seed));
+        let known = asked.await.ok().flatten().unwrap_or_default();
+        if !known.is_empty() {
+            return known;
+        }
+    }
+    Vec::new()
+}
+
+async fn ask_seed(seed: SocketAddr) -> Option<Vec<Peer>> {
+    let mut connection = connect(seed).await.ok()?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = PEERS_PATH.parse().ok()?;
+    let response = connection.sender.send_request(request).await.ok()?;
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    Some(Peers::read(std::str::from_utf8(&body).ok()?))
+}
+
 /// Answers other gateways until the process ends.
 pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
     serve_each(listener, move |request| {
@@ -96,6 +125,10 @@
 
 /// Waits until there are changes or the time is over, and gives up at once when the store is lost.
 async fn answer(node: &Node, method: &Method, path: &str) -> Response<Full<Bytes>> {
+    if path == PEERS_PATH {
+        let known = node.state.borrow().peers.write();
+        return reply(StatusCode::OK, known.into());
+    }
     let question = parse_path(path).filter(|_| method == Method::GET);
     let Some((kind, since)) = question else {
         return reply(StatusCode::BAD_REQUEST, Bytes::new());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -98,7 +98,7 @@
     let peer = listen(settings.peer).context(ListenSnafu {
         addr: settings.peer,
     })?;
-    let metrics = settings.metrics;
+    let (metrics, control) = (settings.metrics, settings.control);
     let client = Client::new(ClientOptions {
         platform: settings.store,
         timeout: STORE_TIMEOUT,
@@ -121,6 +121,15 @@
     for kind in [Kind::Configuration, Kind::Servers] {
         tokio::task::spawn_local(follow(Rc::clone(&node), client.clone(), kind));
     }
+    if let Some(addr) = control {
+        match listen(addr) {
+            Ok(listener) => {
+                tokio::task::spawn_local(serve_peers(Rc::clone(&node), listener));
+            }
+            // It helps other gateways to start, and this one can do without.
+            Err(error) => log::warn!(addr:% = addr, reason:% = error; "control: not served"),
+        }
+    }
     tokio::task::spawn_local(follow_settings(Rc::clone(&node), changes));
     if let Some(addr) = metrics {
         match listen(addr) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,10 @@
     pub ready: SocketAddr,
     /// Address for other gateways.
     pub peer: SocketAddr,
+    /// Second address for other gateways, which their settings name in `seeds`, if there is one.
+    pub control: Option<SocketAddr>,
+    /// Addresses of a few other gateways, which may be gone; asked when the store gives no answer at the start.
+    pub seeds: Vec<SocketAddr>,
     /// Address on which metrics are served, if they are.
     pub metrics: Option<SocketAddr>,
     /// Address of the platform's store.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use crate::node::State;
 use crate::relay::Link;
+use crate::relay::ask_seeds;
 
 /// Longest wait of one watch, as a part of the time in which a configuration is to be in force.
 ///
@@ -272,6 +273,9 @@
             }
             Err(error) => {
                 log::warn!(reason:% = error; "peers: list failed");
+                if node.state.borrow().peers.is_empty() {
+                    learn_from_seeds(&node).await;
+                }
                 FIRST_PEERS_TIME
             }
         };
@@ -280,6 +284,16 @@
     }
 }
 
+/// Learns of the other gateways from those of the settings, when the store turns this one away at its start.
+async fn learn_from_seeds(node: &Node) {
+    let seeds = node.state.borrow().settings.seeds.clone();
+    let known = ask_seeds(&seeds).await;
+    log::info!(seeds = seeds.len(), peers = known.len(); "peers: asked the seeds");
+    if !known.is_empty() {
+        take_peers(node, known);
+    }
+}
+
 fn take_peers(node: &Node, peers: Vec<Peer>) {
     let mut state = node.state.borrow_mut();
     if state.peers.count(|_| true) != peers.len() {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -30,6 +30,8 @@
             front: addr,
             ready: addr,
             peer: addr,
+            control: None,
+            seeds: Vec::new(),
             metrics: None,
             store: addr,
             grace: Duration::from_secs(6),
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -117,6 +117,23 @@
     assert_eq!(log.after(Some(12)), Passed::Unsure);
 }
 
+/// Guards against a list from a seed that is read differently, and against a spoiled line that hides the others.
+#[test]
+fn list_of_peers_survives_the_way() {
+    let text = create_peers().write();
+    assert_eq!(
+        Peers::read(&text),
+        vec![
+            peer("a", "other"),
+            peer("b", "z"),
+            peer("c", "z"),
+            peer("d", "z")
+        ]
+    );
+    let spoiled = format!("x\n\ny z nowhere\n{text}");
+    assert_eq!(Peers::read(&spoiled).len(), 4);
+}
+
 proptest! {
     /// Guards against a snapshot that a peer reads differently, and against a panic on one that was cut short.
     #[test]
