--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! A request takes one way through the crate: `ingress` reads it, `request` finds its route in the [`Table`] and drives
 //! [`query::Gather`], `attempt` sends each sub-request over a connection of `pool`, and `merge` puts the parts together.
-//! `sync` follows the configuration and the [`Directory`] of servers in the platform's store. Names and formats of a
+//! `sync` follows the configuration and the [`Directory`] of servers in the platform's store or through the relay of the zone
+//! (`roster`, `relay`, [`Peers`]), and `apply` takes them in. Names and formats of a
 //! platform come from outside, through [`Platform`]. See docs/decisions/0005-platform.md.
 
 mod accept;
+mod apply;
 mod attempt;
 mod directory;
 mod ingress;
@@ -18,6 +20,7 @@
 mod pool;
 mod relay;
 mod request;
+mod roster;
 mod run;
 mod settings;
 mod sync;
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,116 @@
+//! Which gateways there are: each registers in the store, and lists the others from time to time.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use store::Client;
+use store::StoreError;
+
+use crate::Kind;
+use crate::Peer;
+use crate::Value;
+use crate::node::Node;
+use crate::relay::ask_seeds;
+
+/// Time in which gateways that start together register, before they list each other.
+const REGISTER_TIME: Duration = Duration::from_millis(400);
+
+/// How often the other gateways are listed.
+const PEERS_TIME: Duration = Duration::from_secs(12);
+
+/// Time to the second list of the other gateways, when all of them have started together.
+const FIRST_PEERS_TIME: Duration = Duration::from_secs(1);
+
+/// Registers this gateway and learns of the others, again and again.
+pub(crate) async fn follow_peers(node: Rc<Node>, client: Client) {
+    let own = {
+        let state = node.state.borrow();
+        Peer {
+            node: state.settings.node.clone(),
+            zone: state.settings.zone.clone(),
+            addr: state.settings.peer,
+        }
+    };
+    loop {
+        let pause = match list_peers(&node, &client).await {
+            Ok(peers) if peers.contains(&own) => {
+                take_peers(&node, peers);
+                PEERS_TIME
+            }
+            Ok(peers) => {
+                register(&node, &client, &own).await;
+                let is_first = node.state.borrow().peers.is_empty();
+                if is_first && !peers.is_empty() {
+                    take_peers(&node, peers);
+                }
+                REGISTER_TIME
+            }
+            Err(error) => {
+                log::warn!(reason:% = error; "peers: list failed");
+                if node.state.borrow().peers.is_empty() {
+                    learn_from_seeds(&node).await;
+                }
+                FIRST_PEERS_TIME
+            }
+        };
+        let jitter = node.state.borrow_mut().rng.random::<f64>();
+        tokio::time::sleep(pause.mul_f64(1.0 + jitter / 4.0)).await;
+    }
+}
+
+/// Learns of the other gateways from those of the settings, when the store turns this one away at its start.
+async fn learn_from_seeds(node: &Node) {
+    let seeds = node.state.borrow().settings.seeds.clone();
+    let known = ask_seeds(&seeds).await;
+    log::info!(seeds = seeds.len(), peers = known.len(); "peers: asked the seeds");
+    if !known.is_empty() {
+        take_peers(node, known);
+    }
+}
+
+fn take_peers(node: &Node, peers: Vec<Peer>) {
+    let mut state = node.state.borrow_mut();
+    if state.peers.count(|_| true) != peers.len() {
+        log::info!(peers = peers.len(); "peers: changed");
+    }
+    state.set_peers(peers);
+    node.listed.notify_waiters();
+}
+
+async fn register(node: &Node, client: &Client, own: &Peer) {
+    let (path, body) = node.platform.registration(own);
+    match client.create(&path, body).await {
+        Ok(()) => log::info!(node = own.node.as_str(); "peers: registered"),
+        Err(error) => log::warn!(reason:% = error; "peers: not registered"),
+    }
+}
+
+async fn list_peers(node: &Node, client: &Client) -> Result<Vec<Peer>, StoreError> {
+    let mut peers = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let path = node.platform.stale_list_path(Kind::Peers, after.as_deref());
+        let body = client.read(&path, Duration::ZERO).await?;
+        let batch = match node.platform.read_list(Kind::Peers, &body) {
+            Ok(batch) => batch,
+            Err(error) => {
+                return Err(StoreError::Invalid {
+                    reason: error.to_string(),
+                });
+            }
+        };
+        after = batch.objects.last().map(|object| object.name.to_string());
+        for object in batch.objects {
+            match object.value {
+                Value::Peer(peer) => peers.push(peer),
+                other => {
+                    log::warn!(name = object.name.as_str(), value:? = other; "peers: entry can't be used")
+                }
+            }
+        }
+        if !batch.more || after.is_none() {
+            return Ok(peers);
+        }
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,14 +19,14 @@
 use crate::Kind;
 use crate::Platform;
 use crate::Settings;
+use crate::apply::sweep;
 use crate::ingress::serve_callers;
 use crate::ingress::serve_metrics;
 use crate::ingress::serve_ready;
 use crate::node::Node;
 use crate::relay::serve_peers;
+use crate::roster::follow_peers;
 use crate::sync::follow;
-use crate::sync::follow_peers;
-use crate::sync::sweep;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 512;
