--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for upstreams and the platform, load generation and experiments.
 
 pub mod bench;
+mod broken;
 pub mod control;
 pub mod demo;
 pub mod deploy;
@@ -19,6 +20,7 @@
 pub mod rig;
 pub mod scenario;
 pub mod server;
+mod server_io;
 pub mod settings;
 mod slopes;
 pub mod upstreams;
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -1,19 +1,14 @@
 //! Stand-in of the platform: the object API of `docs/design.md` in memory, with faults on request.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
 use base::Vm;
-use bytes::Bytes;
 use dropshot::ApiDescription;
 use dropshot::Body;
 use dropshot::ConfigDropshot;
@@ -28,7 +23,6 @@
 use dropshot::endpoint;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Frame;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,6 +30,8 @@
 use snafu::Snafu;
 use tokio::sync::watch;
 
+use crate::broken::break_connection;
+
 /// Largest value that the platform accepts.
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
@@ -494,22 +490,3 @@
         .insert(http::header::CONTENT_TYPE, kind);
     response
 }
-
-/// Returns a reply whose body fails, which makes the server break the connection.
-fn break_connection() -> Response<Body> {
-    Response::new(Body::wrap(BrokenBody))
-}
-
-struct BrokenBody;
-
-impl hyper::body::Body for BrokenBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())))
-    }
-}
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -9,10 +9,15 @@
 use base::UpstreamId;
 use base::UpstreamState;
 
+use crate::Blocked;
+use crate::Distance;
+use crate::Ending;
 use crate::Tuning;
 use crate::latency::Latency;
 use crate::queueing::Queueing;
 use crate::steady::Steady;
+use crate::trouble::Trouble;
+use crate::trouble::halve_each;
 
 /// Time over which a cold upstream is given its full concurrency.
 const RAMP: Duration = Duration::from_secs(5);
@@ -52,58 +57,9 @@
 /// A server that paused for a moment is as fast as before after it; a slow one costs a hedge each time it is tried.
 const FADE_MEAN: Duration = Duration::from_millis(700);
 
-/// Time after which the recent share of shed or failed attempts counts half.
-const FADE_TROUBLE: Duration = Duration::from_secs(2);
-
-/// Weight of a new attempt in the recent share of attempts that were shed or failed.
-const TROUBLE_WEIGHT: f32 = 0.2;
-
 /// Time without a reply after which the mean counts half, so that a slow upstream is tried again.
 const FORGET: Duration = Duration::from_secs(1);
 
-/// Where an upstream is, seen from this node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Distance {
-    /// In the node's own availability zone.
-    Zone,
-    /// In another zone of the node's region.
-    Region,
-    /// In another region.
-    Far,
-}
-
-/// Why no permit is available; ordered from a matter of milliseconds to permanent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Blocked {
-    /// The adaptive concurrency limit is reached.
-    Limit,
-    /// The connection share of this node is used up.
-    Share,
-    /// The upstream is paused after consecutive failures, or its single trial is under way.
-    Paused,
-    /// The upstream is draining.
-    Draining,
-    /// No such upstream is registered.
-    Unknown,
-}
-
-/// How an attempt ended, for [`crate::Limits::release`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ending {
-    /// A reply came; its time counts.
-    Replied,
-    /// The upstream shed the request and proved that it was not run.
-    Shed,
-    /// The upstream rejected the request for a reason other than load, such as a retired version.
-    Rejected,
-    /// The connection was refused: evidence of the connection limit, not of a failed server.
-    Refused,
-    /// The connection failed or the reply was lost.
-    Failed,
-    /// This node gave up on the reply; the time until then is a lower bound of the reply time.
-    Cancelled,
-}
-
 /// State of one upstream on one node.
 #[derive(Debug, Clone)]
 pub struct Gate {
@@ -128,8 +84,7 @@
     heard: Option<Instant>,
     waiters: VecDeque<QueryId>,
     pending: Vec<Instant>,
-    trouble: f32,
-    troubled: Option<Instant>,
+    trouble: Trouble,
     steady: Steady,
 }
 
@@ -158,8 +113,7 @@
             heard: None,
             waiters: VecDeque::new(),
             pending: Vec::new(),
-            trouble: 0.0,
-            troubled: None,
+            trouble: Trouble::default(),
             steady: Steady::default(),
         }
     }
@@ -318,7 +272,7 @@
         if let Some(at) = self.pending.iter().position(|pending| *pending == sent) {
             self.pending.swap_remove(at);
         }
-        self.note_trouble(ending, now);
+        self.trouble.note(ending, now);
         if matches!(ending, Ending::Replied | Ending::Cancelled) {
             let ended_silence = ending == Ending::Replied && self.is_unheard(sent);
             self.steady.note(sent, ended_silence, now);
@@ -408,10 +362,7 @@
 
     /// Returns the recent share of attempts that were shed or failed, which fades with time.
     pub(crate) fn trouble(&self, now: Instant) -> f32 {
-        let Some(since) = self.troubled else {
-            return 0.0;
-        };
-        self.trouble * halve_each(FADE_TROUBLE, now.saturating_duration_since(since))
+        self.trouble.share(now)
     }
 
     /// Tells whether an attempt is awaited for longer than `usual` and nothing came back since it was sent.
@@ -432,17 +383,6 @@
         self.distance
     }
 
-    fn note_trouble(&mut self, ending: Ending, now: Instant) {
-        let sample = match ending {
-            Ending::Replied => 0.0,
-            Ending::Shed | Ending::Refused | Ending::Failed => 1.0,
-            Ending::Rejected | Ending::Cancelled => return,
-        };
-        let recent = self.trouble(now);
-        self.trouble = recent + TROUBLE_WEIGHT * (sample - recent);
-        self.troubled = Some(now);
-    }
-
     fn note_mean(&mut self, time: Duration, now: Instant) {
         let time_us = time.as_micros() as f32;
         self.mean_us = match self.last_reply {
@@ -533,10 +473,6 @@
     }
 }
 
-fn halve_each(half: Duration, age: Duration) -> f32 {
-    0.5_f32.powf(age.as_secs_f32() / half.as_secs_f32())
-}
-
 fn saturate(value: u32) -> u16 {
     u16::try_from(value).unwrap_or(u16::MAX)
 }
