Derive what was kept twice, and share what stood twice

Read of the whole change. is_loaded was kept beside the two things that it follows from; the part of the repeats was worked out in two places; two questions to a gateway, two moving means and two test set-ups were alike. The log line of a request named the configuration in force when its body was in, not the one in which its route was found.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -34,7 +34,7 @@
         for id in state.directory.expire(now, &mut state.limits) {
             log::info!(server = id.as_str(); "servers: did not come back");
         }
-        state.sweep(now);
+        state.pool.sweep(now);
     }
 }
 
@@ -107,7 +107,7 @@
     for object in objects {
         apply(&mut state, object, away);
     }
-    if state.is_loaded {
+    if state.is_loaded() {
         node.loaded.notify_waiters();
     }
 }
@@ -121,7 +121,6 @@
             }
             log::info!(revision = table.revision, before:? = known, routes = table.len(); "configuration: in force");
             state.set_table(*table);
-            state.is_loaded = state.has_servers;
         }
         Value::Server(server) => {
             let id = server.id.clone();
@@ -136,7 +135,6 @@
             } = state;
             let change = directory.accept(server, settings, table.as_deref(), limits);
             state.has_servers |= !state.directory.is_empty();
-            state.is_loaded = state.has_servers && state.table.is_some();
             if change != Change::Same {
                 log::info!(server = id.as_str(), service = service.as_str(), draining, change:? = change; "servers: changed");
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -53,8 +53,6 @@
     /// Longest deadline that callers gave on each route.
     pub(crate) deadlines: HashMap<RouteName, Duration>,
     pub(crate) has_servers: bool,
-    /// Whether both the configuration and servers are known.
-    pub(crate) is_loaded: bool,
     pub(crate) metrics: Metrics,
     pub(crate) lines: LineBudget,
     pub(crate) peers: Peers,
@@ -101,7 +99,6 @@
             reply_times: HashMap::new(),
             deadlines: HashMap::new(),
             has_servers: false,
-            is_loaded: false,
             metrics: Metrics::default(),
             lines: LineBudget::default(),
             peers: Peers::default(),
@@ -121,11 +118,16 @@
 
     /// Tells whether the balancer should send new connections here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.state.borrow().is_loaded
+        !self.stopping.get() && self.state.borrow().is_loaded()
     }
 }
 
 impl State {
+    /// Tells whether both the configuration and servers are known.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.table.is_some() && self.has_servers
+    }
+
     /// Returns the usual reply time of a near server on a route.
     pub(crate) fn usual_time(&self, route: &Route) -> Duration {
         self.reply_times
@@ -192,21 +194,14 @@
             log::warn!("settings: an address changed, which takes effect at the next start");
         }
         log::info!(grace:? = settings.grace, repeats:? = settings.repeats; "settings: in force");
-        let nodes = self.peers.count(|_| true);
         self.settings = settings;
-        let mut rule = self.settings.repeats;
-        if nodes > 0 {
-            rule.nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-        }
-        self.limits.set_repeat_rule(rule);
+        self.share_repeats();
     }
 
     /// Takes in the gateways that share servers and the bound of repeats with this one.
     pub(crate) fn set_peers(&mut self, known: Vec<Peer>) {
         self.peers.set(known);
-        let mut rule = self.settings.repeats;
-        rule.nodes = u32::try_from(self.peers.count(|_| true)).unwrap_or(u32::MAX);
-        self.limits.set_repeat_rule(rule);
+        self.share_repeats();
         let regions = &self.settings.regions;
         let nodes = regions
             .iter()
@@ -218,7 +213,12 @@
         self.directory.set_nodes(nodes);
     }
 
-    pub(crate) fn sweep(&mut self, now: Instant) {
-        self.pool.sweep(now);
+    /// Sets this gateway's part of the repeats by the number of known gateways, or as the settings assume.
+    fn share_repeats(&mut self) {
+        let mut rule = self.settings.repeats;
+        if !self.peers.is_empty() {
+            rule.nodes = u32::try_from(self.peers.count(|_| true)).unwrap_or(u32::MAX);
+        }
+        self.limits.set_repeat_rule(rule);
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -78,11 +78,7 @@
                 opened.await.ok()?.ok()?
             }
         };
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = question_path(kind, since).parse().ok()?;
-        let response = connection.sender.send_request(request).await.ok()?;
-        let status = response.status();
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let (status, body) = fetch(&mut connection, &question_path(kind, since)).await?;
         self.open = Some((addr, connection));
         match status {
             StatusCode::OK => Some(Passed::Changes(body)),
@@ -107,11 +103,18 @@
 
 async fn ask_seed(seed: SocketAddr) -> Option<Vec<Peer>> {
     let mut connection = connect(seed).await.ok()?;
+    let (_, body) = fetch(&mut connection, PEERS_PATH).await?;
+    Some(Peers::read(std::str::from_utf8(&body).ok()?))
+}
+
+/// Sends one question; no answer of a gateway is worth telling why it failed to come.
+async fn fetch(connection: &mut Connection, path: &str) -> Option<(StatusCode, Bytes)> {
     let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = PEERS_PATH.parse().ok()?;
+    *request.uri_mut() = path.parse().ok()?;
     let response = connection.sender.send_request(request).await.ok()?;
+    let status = response.status();
     let body = response.into_body().collect().await.ok()?.to_bytes();
-    Some(Peers::read(std::str::from_utf8(&body).ok()?))
+    Some((status, body))
 }
 
 /// Answers other gateways until the process ends.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -65,7 +65,7 @@
 pub(crate) async fn handle_request(node: Rc<Node>, request: Request<Incoming>) -> Answer {
     let arrived = Instant::now();
     let mut answer = match accept(&node, request, arrived).await {
-        Ok((route, outgoing, objective)) => run(&node, route, outgoing, objective).await,
+        Ok(accepted) => run(&node, accepted).await,
         Err(answer) => answer,
     };
     if node.stopping.get() {
@@ -75,12 +75,22 @@
     answer
 }
 
+/// A request with the route that it takes.
+struct Accepted {
+    /// Configuration in which the route was found; another may come into force while the body is read.
+    revision: Revision,
+    route: Rc<Route>,
+    outgoing: Outgoing,
+    /// Moment from which an answer without some parts is better than waiting for them.
+    objective: Instant,
+}
+
 /// Finds the route of a request and reads its body.
 async fn accept(
     node: &Node,
     request: Request<Incoming>,
     arrived: Instant,
-) -> Result<(Rc<Route>, Outgoing, Instant), Answer> {
+) -> Result<Accepted, Answer> {
     let (mut head, body) = request.into_parts();
     let given = read_deadline(node, &head);
     let Some(table) = wait_for_table(node, given).await else {
@@ -128,7 +138,12 @@
         repeatable: route.repeatable,
         deadline: arrived + left.min(route.timeout),
     };
-    Ok((route, outgoing, objective))
+    Ok(Accepted {
+        revision: table.revision,
+        route,
+        outgoing,
+        objective,
+    })
 }
 
 fn read_deadline(node: &Node, head: &http::request::Parts) -> Option<Duration> {
@@ -142,7 +157,7 @@
 /// A process learns it within a fraction of a second, sooner than a refused caller would be back.
 async fn wait_for_table(node: &Node, left: Option<Duration>) -> Option<Rc<Table>> {
     let loaded = node.loaded.notified();
-    if !node.state.borrow().is_loaded {
+    if !node.state.borrow().is_loaded() {
         let wait = left.map_or(LOAD_TIME, |left| (left / 3).min(LOAD_TIME));
         // Without it the request is refused below.
         let _ = tokio::time::timeout(wait, loaded).await;
@@ -189,14 +204,14 @@
     revision: Revision,
 }
 
-async fn run(node: &Rc<Node>, route: Rc<Route>, outgoing: Outgoing, objective: Instant) -> Answer {
+async fn run(node: &Rc<Node>, accepted: Accepted) -> Answer {
     let started = Instant::now();
-    let revision = node
-        .state
-        .borrow()
-        .table
-        .as_ref()
-        .map_or(0, |table| table.revision);
+    let Accepted {
+        revision,
+        route,
+        outgoing,
+        objective,
+    } = accepted;
     let mut waiting = Waiting { node, ended: false };
     let (events, mut received) = mpsc::unbounded_channel();
     let mut gather = Gather::new(make_order(node, &route, &outgoing, objective));
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -199,7 +199,7 @@
         pause.min(MAX_RETRY_TIME).mul_f64(1.0 + jitter)
     }
 
-    /// Asks a relay for changes; returns the version known then, or `None` if the store has to be asked.
+    /// Asks a relay for changes; returns the version known then, or how the relay failed.
     async fn ask_relay(&mut self, relay: &Peer) -> Result<StoreVersion, Lost> {
         let (kind, since, away) = (self.kind, self.since, self.away);
         let node = &self.node;
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -14,6 +14,7 @@
 use crate::Ending;
 use crate::Tuning;
 use crate::latency::Latency;
+use crate::mean::Mean;
 use crate::queueing::Queueing;
 use crate::steady::Steady;
 use crate::trouble::Trouble;
@@ -49,9 +50,6 @@
 /// Queries that may wait for a place; further ones ask again by themselves.
 const MAX_WAITERS: usize = 1_000;
 
-/// Weight of a new reply time in the moving mean.
-pub(crate) const MEAN_WEIGHT: f32 = 0.2;
-
 /// Time after which a mean counts half in [`Gate::fading_mean`].
 ///
 /// A server that paused for a moment is as fast as before after it; a slow one costs a hedge each time it is tried.
@@ -71,8 +69,7 @@
     in_flight: u16,
     queueing: Queueing,
     latency: Latency,
-    mean_us: f32,
-    last_reply: Option<Instant>,
+    mean: Mean,
     ramp_start: Option<Instant>,
     drained: Option<Instant>,
     failures: u8,
@@ -100,8 +97,7 @@
             in_flight: 0,
             queueing: Queueing::new(saturate(slots)),
             latency: Latency::new(),
-            mean_us: 0.0,
-            last_reply: None,
+            mean: Mean::default(),
             ramp_start: None,
             drained: None,
             failures: 0,
@@ -288,7 +284,7 @@
             Ending::Replied => {
                 self.recover();
                 self.latency.record(time);
-                self.note_mean(time, now);
+                self.mean.record(time, now);
                 self.queueing.observe(time);
             }
             Ending::Shed => {
@@ -343,20 +339,20 @@
 
     /// Returns the moving mean of the reply time, halved for each [`FORGET`] without a reply.
     pub(crate) fn decayed_mean(&self, now: Instant) -> f32 {
-        let Some(last) = self.last_reply else {
+        let Some(last) = self.mean.updated else {
             return 0.0;
         };
-        self.mean_us * halve_each(FORGET, now.saturating_duration_since(last))
+        self.mean.us * halve_each(FORGET, now.saturating_duration_since(last))
     }
 
     /// Returns the moving mean of the reply time as far as it is still current, or `None` before the first reply.
     ///
     /// An old mean approaches `usual`, so that an upstream that was slow is tried again.
     pub(crate) fn fading_mean(&self, usual: Duration, now: Instant) -> Option<Duration> {
-        let age = now.saturating_duration_since(self.steady.updated?);
+        let age = now.saturating_duration_since(self.steady.mean.updated?);
         let weight = halve_each(FADE_MEAN, age);
         let usual_us = usual.as_micros() as f32;
-        let mean_us = usual_us + (self.steady.mean_us - usual_us) * weight;
+        let mean_us = usual_us + (self.steady.mean.us - usual_us) * weight;
         Some(Duration::from_micros(mean_us as u64))
     }
 
@@ -383,22 +379,13 @@
         self.distance
     }
 
-    fn note_mean(&mut self, time: Duration, now: Instant) {
-        let time_us = time.as_micros() as f32;
-        self.mean_us = match self.last_reply {
-            None => time_us,
-            Some(_) => self.mean_us + MEAN_WEIGHT * (time_us - self.mean_us),
-        };
-        self.last_reply = Some(now);
-    }
-
     /// Counts an abandoned attempt as slow as it was when abandoned, unless that is faster than usual.
     ///
     /// Without it, the slow replies that a hedge replaces would never reach the quantiles, which would drift down.
     fn note_lower_bound(&mut self, time: Duration, now: Instant) {
-        if time.as_micros() as f32 >= self.mean_us {
+        if time.as_micros() as f32 >= self.mean.us {
             self.latency.record(time);
-            self.note_mean(time, now);
+            self.mean.record(time, now);
         }
     }
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -46,6 +46,7 @@
 mod gate;
 mod latency;
 mod limits;
+mod mean;
 mod near;
 mod pick;
 mod queueing;
--- /dev/null
+++ b/crates/limit/src/mean.rs
@@ -0,0 +1,25 @@
+//! A moving mean of reply times.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Weight of a new reply time.
+const WEIGHT: f32 = 0.2;
+
+/// Mean in which each new reply time weighs a fifth; zero before the first.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Mean {
+    pub(crate) us: f32,
+    pub(crate) updated: Option<Instant>,
+}
+
+impl Mean {
+    pub(crate) fn record(&mut self, time: Duration, now: Instant) {
+        let time_us = time.as_micros() as f32;
+        self.us = match self.updated {
+            None => time_us,
+            Some(_) => self.us + WEIGHT * (time_us - self.us),
+        };
+        self.updated = Some(now);
+    }
+}
--- a/crates/limit/src/steady.rs
+++ b/crates/limit/src/steady.rs
@@ -1,9 +1,8 @@
 //! The reply time of an upstream while it runs, without its pauses.
 
-use std::time::Duration;
 use std::time::Instant;
 
-use crate::gate::MEAN_WEIGHT;
+use crate::mean::Mean;
 
 /// Multiple of the mean from which on a reply counts as late.
 const LATE: f32 = 2.0;
@@ -14,8 +13,7 @@
 /// one. A server that is slow throughout ends one silence after the other with late replies, and these count.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Steady {
-    pub(crate) mean_us: f32,
-    pub(crate) updated: Option<Instant>,
+    pub(crate) mean: Mean,
     /// End of the latest silence.
     resumed: Option<Instant>,
     /// Late replies in a row that ended a silence.
@@ -26,7 +24,7 @@
     /// Takes in that an attempt ended; `ended_silence` means that a reply came and nothing else had since it was sent.
     pub(crate) fn note(&mut self, sent: Instant, ended_silence: bool, now: Instant) {
         let time = now.saturating_duration_since(sent);
-        let late = self.updated.is_some() && time.as_micros() as f32 > LATE * self.mean_us;
+        let late = self.mean.updated.is_some() && time.as_micros() as f32 > LATE * self.mean.us;
         if !late {
             self.late_ends = 0;
         } else if ended_silence {
@@ -35,16 +33,7 @@
         }
         let waited = late && self.late_ends == 1 && self.resumed.is_some_and(|end| sent < end);
         if !waited {
-            self.record(time, now);
+            self.mean.record(time, now);
         }
     }
-
-    fn record(&mut self, time: Duration, now: Instant) {
-        let time_us = time.as_micros() as f32;
-        self.mean_us = match self.updated {
-            None => time_us,
-            Some(_) => self.mean_us + MEAN_WEIGHT * (time_us - self.mean_us),
-        };
-        self.updated = Some(now);
-    }
 }
--- a/crates/query/tests/gather.rs
+++ b/crates/query/tests/gather.rs
@@ -126,6 +126,19 @@
         }
     }
 
+    /// Starts the request and loses its first attempt while no repeat of the first service is left.
+    fn lose_without_repeats(&mut self, ratio: f64) {
+        self.limits.set_repeat_rule(RepeatRule {
+            ratio,
+            slack: 0.0,
+            window: ms(10_000),
+            nodes: 1,
+        });
+        while self.limits.take_repeat(&"s0".into(), 0.0) {}
+        self.start();
+        self.end(0, Some(Failure::Lost), 10);
+    }
+
     fn wake(&mut self) -> u64 {
         let wake = self.gather.next_wake().unwrap();
         let at = (wake - self.start).as_millis() as u64;
@@ -324,16 +337,7 @@
 #[test]
 fn without_tokens_nothing_is_repeated() {
     let mut rig = Rig::new(1, 1, true);
-    rig.limits.set_repeat_rule(RepeatRule {
-        ratio: 0.0,
-        slack: 0.0,
-        window: ms(10_000),
-        nodes: 1,
-    });
-    let service = ServiceName::from("s0");
-    while rig.limits.take_repeat(&service, 0.0) {}
-    rig.start();
-    rig.end(0, Some(Failure::Lost), 10);
+    rig.lose_without_repeats(0.0);
     while rig.verdict.is_none() {
         rig.wake();
         assert!(rig.sent.is_empty());
@@ -345,19 +349,10 @@
 #[test]
 fn repeat_is_sent_when_it_is_earned() {
     let mut rig = Rig::new(1, 1, true);
-    rig.limits.set_repeat_rule(RepeatRule {
-        ratio: 0.5,
-        slack: 0.0,
-        window: ms(10_000),
-        nodes: 1,
-    });
-    let service = ServiceName::from("s0");
-    while rig.limits.take_repeat(&service, 0.0) {}
-    rig.start();
-    rig.end(0, Some(Failure::Lost), 10);
+    rig.lose_without_repeats(0.5);
     assert_eq!((rig.sent.len(), &rig.verdict), (0, &None));
-    rig.limits.earn_repeat(&service);
-    rig.limits.earn_repeat(&service);
+    rig.limits.earn_repeat(&"s0".into());
+    rig.limits.earn_repeat(&"s0".into());
     rig.wake();
     assert_eq!(rig.count(Kind::Retry), 1);
 }
