gateway: count only successes of servers as parts

Cause (read of the change): of a server's replies only 5xx were failures, so that a 4xx without a signature became a part of a query: counted, merged as an empty body, and not named among the signatures. Ruled out: refusals that say that nothing ran, which were failures already. Test error_is_not_a_part: X-Missing-Parts was 0, is 1.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -343,9 +343,17 @@
         });
     }
 
+    /// Tells whether a reply may be passed on, or be a part: of several servers only successes are parts.
+    fn is_usable(&self, reply: &Reply) -> bool {
+        match &self.route.target {
+            Target::Services(_) => !reply.is_failure,
+            Target::Shards { .. } => reply.status.is_success(),
+        }
+    }
+
     fn take(&mut self, (id, result): Event) -> Input {
         match result {
-            Ok(reply) if !reply.is_failure => {
+            Ok(reply) if self.is_usable(&reply) => {
                 if let Some(sent) = self.sent.get(&id) {
                     let mut state = self.node.state.borrow_mut();
                     state.note_reply_time(&self.route, sent.elapsed());
