query: a node without reply times judges a shard against the others of its query

Cause of the red drain_reaches_every_node: until 32 reply times of a replica are known the delay of a shard is a guess of 25 ms, and a query that prefers latency gives the shard up after twice the guess. The failing answers ended after 50 ms and 67 ms of a deadline of 249 ms, each from a node that had asked nothing before, with 27 and 29 of 30 parts. So a node that has just started drops shards that are no later than the rest.

Ruled out: the drain (the drained server got no work in any run), the holders (attempts 1 a missing shard, none lost or refused), the deadline itself (elapsed 50 to 67 ms).

Change: while the delay is a guess, a shard is late only against the slowest part that the same query has.

--- a/crates/query/src/machine.rs
+++ b/crates/query/src/machine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use base::AttemptId;
@@ -63,6 +64,8 @@
     open: usize,
     members: u64,
     covered: u64,
+    /// Longest time until a shard gave its part.
+    slowest: Duration,
     wake: Option<Instant>,
     begun: bool,
     done: bool,
@@ -85,6 +88,7 @@
             open: 0,
             members: 0,
             covered: 0,
+            slowest: Duration::ZERO,
             wake: None,
             begun: false,
             done: false,
@@ -206,6 +210,9 @@
                 .earn(&self.plan.service, policy.hedge_budget, policy.retry_budget);
         }
         self.cancel_shard(shard, now, env.limits, actions);
+        if let Some(first) = self.shards.get(&shard).and_then(|state| state.first_sent) {
+            self.slowest = self.slowest.max(now - first);
+        }
         self.close(shard, Progress::Answered(part));
     }
 
@@ -419,7 +426,7 @@
         }
         let mut end = self.started;
         for state in self.shards.values().filter(|state| state.is_open()) {
-            end = end.max(state.patience_end());
+            end = end.max(state.patience_end(self.slowest));
         }
         Some(end)
     }
--- a/crates/query/src/shard.rs
+++ b/crates/query/src/shard.rs
@@ -54,6 +54,8 @@
     pub(crate) first_sent: Option<Instant>,
     pub(crate) last_sent: Instant,
     pub(crate) hedge_delay: Duration,
+    /// Whether the hedge delay rests on no reply times of the replicas.
+    guessed: bool,
     pub(crate) timer: Option<Instant>,
     /// Kind of the next attempt while none is outstanding.
     pub(crate) next: Kind,
@@ -78,6 +80,7 @@
             first_sent: None,
             last_sent: now,
             hedge_delay: FIRST_DELAY,
+            guessed: true,
             timer: None,
             next: Kind::Primary,
             reason: MissingReason::NoReplica,
@@ -171,30 +174,41 @@
     ///
     /// An upstream that is slow throughout has a large quantile of its own, by which a hedge would come too late.
     pub(crate) fn find_delay(&self, quantile: f64, limits: &Limits) -> Duration {
-        let known = self
-            .replicas
+        self.find_quantile(quantile, limits)
+            .unwrap_or(FIRST_DELAY)
+            .max(MIN_DELAY)
+    }
+
+    fn find_quantile(&self, quantile: f64, limits: &Limits) -> Option<Duration> {
+        self.replicas
             .iter()
             .filter_map(|&key| limits.quantile(key, quantile))
-            .min();
-        known.unwrap_or(FIRST_DELAY).max(MIN_DELAY)
+            .min()
     }
 
     /// Sets the hedge delay as [`ShardState::find_delay`] gives it.
     pub(crate) fn set_delay(&mut self, quantile: f64, limits: &Limits) {
         self.hedge_delay = self.find_delay(quantile, limits);
+        self.guessed = self.find_quantile(quantile, limits).is_none();
     }
 
     /// Sets a hedge delay that does not depend on reply times.
     pub(crate) fn fix_delay(&mut self, delay: Duration) {
         self.hedge_delay = delay.max(MIN_DELAY);
+        self.guessed = false;
     }
 
     /// Returns the moment from which a query that prefers latency no longer waits for this shard.
     ///
     /// A shard that the limits hold back counts from the moment it was bound, or one paused upstream would delay every
-    /// query to its deadline.
-    pub(crate) fn patience_end(&self) -> Instant {
-        self.first_sent.unwrap_or(self.bound_at) + 2 * self.hedge_delay
+    /// query to its deadline. `slowest` is the longest reply time among the parts of the query: while the replicas' own
+    /// reply times are not known, a shard is late only against the others.
+    pub(crate) fn patience_end(&self, slowest: Duration) -> Instant {
+        let usual = match self.guessed {
+            true => self.hedge_delay.max(slowest),
+            false => self.hedge_delay,
+        };
+        self.first_sent.unwrap_or(self.bound_at) + 2 * usual
     }
 
     /// Tells whether every usable replica is paused beyond a moment, so that waiting until then is of no use.
--- a/crates/query/tests/silence.rs
+++ b/crates/query/tests/silence.rs
@@ -1,7 +1,9 @@
-//! Attempts that neither reply nor fail.
+//! Attempts that neither reply nor fail, or that reply late.
 
 mod support;
 
+use base::Code;
+use decl::Prefer;
 use limit::Ending;
 use limit::Tuning;
 use query::Hedging;
@@ -48,3 +50,26 @@
     assert_eq!(run.sent.len(), expected);
     assert!(run.sent[1..].iter().all(|sent| sent.kind == Kind::Retry));
 }
+
+/// Guards against a partial answer of a node that knows no reply times yet: nine of ten shards took `others_ms`, and the
+/// tenth is no straggler as long as it is not late against these.
+#[rstest]
+#[case::as_slow_as_the_others(40, 70, Code::Answered)]
+#[case::late_against_the_others(40, 90, Code::PartialDeadline)]
+#[case::late_against_fast_ones(1, 70, Code::PartialDeadline)]
+fn unknown_shard_is_late_against_the_others(
+    #[case] others_ms: u64,
+    #[case] last_ms: u64,
+    #[case] code: Code,
+) {
+    let mut node = Node::simple(10, 1);
+    let mut run = node.run(|plan| {
+        plan.policy.at_deadline.prefer = Prefer::Latency;
+        plan.policy.at_deadline.min_coverage = 0.9;
+    });
+    run.advance(&mut node, ms(others_ms));
+    run.reply_where(&mut node, |shard| shard != 4);
+    run.advance(&mut node, ms(last_ms - others_ms));
+    run.reply_where(&mut node, |shard| shard == 4);
+    assert_eq!(run.finish(&mut node).code, code);
+}
