gateway: bound memory, descriptors and the time of a body; admit by rank

Cause: the limits of the settings were read by nothing. A process took in every body and reply, so that it could exceed its memory and be killed with all requests in it; callers could use up the descriptors that connections to servers need; and a body that never came kept its connection for as long as its caller liked, since only the time of the head was bounded.

Ruled out: hyper's own limits (buffer of a head, time of a head) bound neither the body nor the number of connections.

Change: `limit::Room` counts the bytes of requests in progress; half of the process's memory is theirs. A new request takes its cost by shards before its body is read, and finds less room the less urgent its route is (`priority`, now read), down to half; bodies and replies are read frame by frame into what is left. Without room the answer is 503 with Retry-After, nothing has run. A body has to come by the deadline, else 408 and the connection ends. Half of the descriptors are for callers, half for servers: a caller beyond them is closed unread, and a connection to a server takes the place of the one that is idle longest.

Left open: an answer that a caller is slow to read is not counted.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,17 +13,19 @@
 use http::Request;
 use http::StatusCode;
 use http::Uri;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use limit::Ending;
 use limit::GateKey;
 use limit::Permit;
 use query::Failure;
 
 use crate::Headers;
+use crate::body::BodyError;
+use crate::body::Reserved;
+use crate::body::read_body;
 use crate::node::Node;
 use crate::pool::Connection;
+use crate::pool::Open;
 use crate::pool::connect;
 use crate::pool::parse_keep_alive;
 
@@ -56,6 +58,8 @@
     pub(crate) body: Bytes,
     /// The reply is a failure of the server, which may be passed on when nothing better comes.
     pub(crate) is_failure: bool,
+    /// Memory for the body.
+    pub(crate) room: Option<Reserved>,
 }
 
 /// How a request to a server ended without a reply.
@@ -111,7 +115,7 @@
     result
 }
 
-async fn exchange(node: &Node, outgoing: &Outgoing, key: GateKey) -> Result<Reply, Lost> {
+async fn exchange(node: &Rc<Node>, outgoing: &Outgoing, key: GateKey) -> Result<Reply, Lost> {
     let endpoint = node.state.borrow().directory.endpoint(key).cloned();
     let Some(endpoint) = endpoint else {
         return lose(Failure::NotRun, "the server has left");
@@ -134,9 +138,12 @@
         }
     };
     let (head, body) = response.into_parts();
-    let body = match Limited::new(body, MAX_REPLY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => return lose(Failure::Lost, "the reply broke off"),
+    let mut room = Reserved::empty(node);
+    let body = match read_body(body, MAX_REPLY_BYTES, &mut room).await {
+        Ok(body) => body,
+        Err(BodyError::Broken) => return lose(Failure::Lost, "the reply broke off"),
+        Err(BodyError::TooLarge) => return lose(Failure::Lost, "the reply is too large"),
+        Err(BodyError::NoRoom) => return lose(Failure::Lost, "no memory is left for the reply"),
     };
     if let Some(id) = head.headers.get(&node.headers.request_id)
         && *id != outgoing.id
@@ -148,7 +155,10 @@
     } else if outgoing.repeatable {
         keep(node, connection, key, &head.headers);
     }
-    judge(head.status, head.headers, body, &node.headers)
+    judge(head.status, head.headers, body, &node.headers).map(|mut reply| {
+        reply.room = Some(room);
+        reply
+    })
 }
 
 /// Takes a kept connection, unless a request that may not be repeated could be lost on one that just closed.
@@ -164,13 +174,19 @@
 /// A server that has too many connections resets a new one a round trip after it seemed open. A request that was sent
 /// meanwhile might have run, for all that can be seen.
 async fn open(
-    node: &Node,
+    node: &Rc<Node>,
     key: GateKey,
     addr: SocketAddr,
     repeatable: bool,
 ) -> Result<Connection, Lost> {
+    if node.upstreams.get() >= node.connection_bound()
+        && !node.state.borrow_mut().pool.close_oldest()
+    {
+        return lose(Failure::NotRun, "no descriptor is left for a connection");
+    }
     let began = Instant::now();
-    let connection = match tokio::time::timeout(CONNECT_TIME, connect(addr)).await {
+    let connection = match tokio::time::timeout(CONNECT_TIME, connect(addr, Open::new(node))).await
+    {
         Ok(Ok(connection)) => connection,
         Ok(Err(_)) => return lose(Failure::Refused, "the connection was refused"),
         Err(_) => return lose(Failure::Unreachable, "no connection in time"),
@@ -260,6 +276,7 @@
         status,
         headers,
         body,
+        room: None,
     })
 }
 
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -20,6 +20,7 @@
 
 use crate::accept::accept_each;
 use crate::accept::serve_each;
+use crate::metrics::Counter;
 use crate::node::Node;
 use crate::request::handle_request;
 
@@ -46,6 +47,10 @@
 }
 
 async fn serve_caller(node: Rc<Node>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    if node.callers.get() >= node.connection_bound() {
+        refuse_caller(&node);
+        return;
+    }
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "ingress: no delay can't be set");
     }
@@ -84,6 +89,16 @@
     }
 }
 
+/// Notes that a connection is closed unread, which tells its caller that nothing of its request has run.
+fn refuse_caller(node: &Node) {
+    let open = node.callers.get();
+    let mut state = node.state.borrow_mut();
+    state.metrics.count(Counter::CallerRefused);
+    if let Some(skipped) = state.allow_line("refused caller") {
+        log::warn!(open, skipped; "ingress: too many connections");
+    }
+}
+
 /// Answers the balancer's question whether this process takes new connections.
 pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
     serve_each(listener, move |_| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod accept;
 mod apply;
 mod attempt;
+mod body;
 mod directory;
 mod ingress;
 mod journal;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     RequestTimedOut = "requests_timed_out",
     RequestNoRoute = "requests_without_route",
     RequestLeft = "requests_left_by_caller",
+    RequestNoRoom = "requests_without_memory",
+    CallerRefused = "connections_refused",
     AttemptPrimary = "attempts_primary",
     AttemptHedge = "attempts_hedge",
     AttemptRetry = "attempts_retry",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,6 +10,7 @@
 use base::AttemptId;
 use limit::Latency;
 use limit::Limits;
+use limit::Room;
 use limit::Tuning;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -39,6 +40,13 @@
 /// Shortest time after which a second server is asked, so that the jitter of the VM itself causes no hedge.
 const MIN_HEDGE: Duration = Duration::from_millis(8);
 
+/// Descriptors for the store, other gateways and the addresses listened on.
+const OWN_FILES: u32 = 200;
+
+/// Part of the process's memory for the requests in progress, as a divisor; the rest is for code, tables, connections and
+/// answers that callers are slow to read.
+const ROOM_PART: u64 = 2;
+
 /// State of the process that its tasks read and change; it is never borrowed across an await.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -47,6 +55,8 @@
     pub(crate) directory: Directory,
     pub(crate) limits: Limits,
     pub(crate) pool: Pool,
+    /// Memory for the requests in progress.
+    pub(crate) room: Room,
     pub(crate) rng: Pcg64Mcg,
     pub(crate) next_attempt: AttemptId,
     pub(crate) reply_times: HashMap<RouteName, Latency>,
@@ -73,6 +83,8 @@
     pub(crate) listed: Notify,
     /// Connections of callers that are open.
     pub(crate) callers: Cell<usize>,
+    /// Connections to servers that are open.
+    pub(crate) upstreams: Cell<usize>,
 }
 
 impl Node {
@@ -90,6 +102,7 @@
         limits.set_repeat_rule(settings.repeats);
         let state = State {
             directory: Directory::new(),
+            room: Room::new(settings.memory / ROOM_PART),
             settings,
             table: None,
             limits,
@@ -113,9 +126,16 @@
             loaded: Notify::new(),
             listed: Notify::new(),
             callers: Cell::new(0),
+            upstreams: Cell::new(0),
         }
     }
 
+    /// Returns the connections of callers that may be open, and those to servers, each half of what sockets may use.
+    pub(crate) fn connection_bound(&self) -> usize {
+        let files = self.state.borrow().settings.files;
+        (files.saturating_sub(OWN_FILES) / 2) as usize
+    }
+
     /// Tells whether the balancer should send new connections here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.state.borrow().is_loaded()
@@ -194,6 +214,7 @@
             log::warn!("settings: an address changed, which takes effect at the next start");
         }
         log::info!(grace:? = settings.grace, repeats:? = settings.repeats; "settings: in force");
+        self.room.set_bound(settings.memory / ROOM_PART);
         self.settings = settings;
         self.share_repeats();
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to servers, kept for further requests.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +13,8 @@
 use slotmap::SecondaryMap;
 use tokio::net::TcpStream;
 
+use crate::node::Node;
+
 /// Time for which an idle connection is used again when the server doesn't say how long it keeps one.
 const IDLE_TIME: Duration = Duration::from_secs(4);
 
@@ -68,6 +71,22 @@
         self.idle.remove(key);
     }
 
+    /// Closes the connection that is idle for the longest time; returns whether there was one.
+    pub(crate) fn close_oldest(&mut self) -> bool {
+        let oldest = self
+            .idle
+            .iter()
+            .filter_map(|(key, idle)| Some((idle.first()?.since, key)))
+            .min();
+        let Some((_, key)) = oldest else {
+            return false;
+        };
+        if let Some(idle) = self.idle.get_mut(key) {
+            idle.remove(0);
+        }
+        true
+    }
+
     /// Closes the connections that can't be used any more.
     pub(crate) fn sweep(&mut self, now: Instant) {
         for idle in self.idle.values_mut() {
@@ -83,8 +102,31 @@
     }
 }
 
-/// Opens a connection.
-pub(crate) async fn connect(addr: SocketAddr) -> Result<Connection, std::io::Error> {
+/// Counts a connection to a server for as long as it is open.
+pub(crate) struct Open {
+    node: Rc<Node>,
+}
+
+impl Open {
+    pub(crate) fn new(node: &Rc<Node>) -> Open {
+        node.upstreams.set(node.upstreams.get() + 1);
+        Open {
+            node: Rc::clone(node),
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.node.upstreams.set(self.node.upstreams.get() - 1);
+    }
+}
+
+/// Opens a connection; `open` is dropped when it has ended.
+pub(crate) async fn connect<T: 'static>(
+    addr: SocketAddr,
+    open: T,
+) -> Result<Connection, std::io::Error> {
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
     let (sender, driver) = hyper::client::conn::http1::Builder::new()
@@ -96,6 +138,7 @@
         if let Err(error) = driver.await {
             log::debug!("upstream: connection to {addr} ended: {error}");
         }
+        drop(open);
     });
     Ok(Connection {
         sender,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -74,7 +74,7 @@
                 connection
             }
             _ => {
-                let opened = tokio::time::timeout(CONNECT_TIME, connect(addr));
+                let opened = tokio::time::timeout(CONNECT_TIME, connect(addr, ()));
                 opened.await.ok()?.ok()?
             }
         };
@@ -102,7 +102,7 @@
 }
 
 async fn ask_seed(seed: SocketAddr) -> Option<Vec<Peer>> {
-    let mut connection = connect(seed).await.ok()?;
+    let mut connection = connect(seed, ()).await.ok()?;
     let (_, body) = fetch(&mut connection, PEERS_PATH).await?;
     Some(Peers::read(std::str::from_utf8(&body).ok()?))
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,9 +14,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use limit::Permit;
 use query::Failure;
@@ -39,6 +37,9 @@
 use crate::attempt::Reply;
 use crate::attempt::remove_hop_headers;
 use crate::attempt::send_attempt;
+use crate::body::BodyError;
+use crate::body::Reserved;
+use crate::body::read_body;
 use crate::merge::merge_records;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -58,6 +59,12 @@
 /// Time after which a caller is asked to come back when no server could take its request.
 const RETRY_AFTER: &str = "0.2";
 
+/// Memory that a request takes besides its body: its head, tasks and buffers.
+const REQUEST_BYTES: u64 = 16 << 10;
+
+/// Memory that a sub-request takes besides its reply: its head, task and buffers.
+const ATTEMPT_BYTES: u64 = 8 << 10;
+
 type Answer = Response<Full<Bytes>>;
 type Event = (AttemptId, Result<Reply, Lost>);
 
@@ -83,11 +90,13 @@
     outgoing: Outgoing,
     /// Moment from which an answer without some parts is better than waiting for them.
     objective: Instant,
+    /// Memory for the request and its body.
+    room: Reserved,
 }
 
 /// Finds the route of a request and reads its body.
 async fn accept(
-    node: &Node,
+    node: &Rc<Node>,
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Accepted, Answer> {
@@ -111,17 +120,32 @@
         }
         reply_error(StatusCode::NOT_FOUND, "no route matches")
     })?;
-    let body = match Limited::new(body, table.bounds.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+    let left = given.unwrap_or(route.timeout);
+    let deadline = arrived + left.min(route.timeout);
+    let cost = REQUEST_BYTES + ATTEMPT_BYTES * route.target.width();
+    let mut room = Reserved::admit(node, route.rank, cost)
+        .ok_or_else(|| refuse_for_room(node, &id, &route))?;
+    let reading = read_body(body, table.bounds.body_bytes, &mut room);
+    let body = match tokio::time::timeout_at(deadline.into(), reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge)) => {
             return Err(reply_error(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too large",
             ));
         }
-        Err(_) => return Err(reply_error(StatusCode::BAD_REQUEST, "the body broke off")),
+        Ok(Err(BodyError::Broken)) => {
+            return Err(reply_error(StatusCode::BAD_REQUEST, "the body broke off"));
+        }
+        Ok(Err(BodyError::NoRoom)) => return Err(refuse_for_room(node, &id, &route)),
+        Err(_) => {
+            let mut answer =
+                reply_error(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(http::header::CONNECTION, close);
+            return Err(answer);
+        }
     };
-    let left = given.unwrap_or(route.timeout);
     let spent = node.state.borrow_mut().time_spent(&route, left);
     let objective = arrived + route.objective.saturating_sub(spent + ANSWER_MARGIN);
     remove_hop_headers(&mut head.headers);
@@ -136,16 +160,30 @@
         body,
         id,
         repeatable: route.repeatable,
-        deadline: arrived + left.min(route.timeout),
+        deadline,
     };
     Ok(Accepted {
         revision: table.revision,
         route,
         outgoing,
         objective,
+        room,
     })
 }
 
+/// Refuses a request for which there is no memory; nothing of it has run.
+fn refuse_for_room(node: &Node, id: &HeaderValue, route: &Route) -> Answer {
+    let mut state = node.state.borrow_mut();
+    state.metrics.count(Counter::RequestNoRoom);
+    if let Some(skipped) = state.allow_line("no room") {
+        let id = id.to_str().unwrap_or("?");
+        let (route, rank) = (route.name.as_str(), route.rank);
+        let held = state.room.held();
+        log::warn!(id, route, rank, held, skipped; "request: no memory");
+    }
+    refuse("no memory is left")
+}
+
 fn read_deadline(node: &Node, head: &http::request::Parts) -> Option<Duration> {
     let value = head.headers.get(&node.headers.deadline)?;
     let millis = value.to_str().ok()?.trim().parse().ok()?;
@@ -211,6 +249,7 @@
         route,
         outgoing,
         objective,
+        room: _room,
     } = accepted;
     let mut waiting = Waiting { node, ended: false };
     let (events, mut received) = mpsc::unbounded_channel();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,10 @@
     pub grace: Duration,
     /// Time within which a configuration is to be in force.
     pub apply: Duration,
+    /// Bytes of memory at which the process is killed.
+    pub memory: u64,
+    /// Descriptors that sockets may use.
+    pub files: u32,
     /// Bound of repeated sub-requests over all VMs.
     pub repeats: RepeatRule,
 }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -27,6 +27,16 @@
     },
 }
 
+impl Target {
+    /// Returns the services that are asked at the same time.
+    pub(crate) fn width(&self) -> u64 {
+        match self {
+            Target::Services(_) => 1,
+            Target::Shards { services, .. } => services.len() as u64,
+        }
+    }
+}
+
 /// How the requests of one host and path prefix are handled.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
@@ -46,6 +56,8 @@
     pub objective: Duration,
     /// Servers of one service on which a request may run.
     pub max_runs: u32,
+    /// Rank of its requests when not all can be served; 0 is the most urgent.
+    pub rank: u32,
 }
 
 /// What is known of a service from the configuration.
--- a/crates/gateway/tests/table.rs
+++ b/crates/gateway/tests/table.rs
@@ -19,6 +19,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
         max_runs: 1,
+        rank: 0,
     }
 }
 
