limit: keep the bound of repeats where so many nodes share it that none has a whole token

Cause: each node saved up at least one token of each service.

Ruled out: tokens pooled over services (a slow shard is slow for all nodes, so that all would spend on the same service); a lower minimum as such (a node with less than a token would never repeat).

Change: no minimum; where the most that a node may save is under one token, what it has is the chance of a repeat. `RepeatRule.window`, which nothing read, goes.

--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -41,7 +41,6 @@
             repeats: RepeatRule {
                 ratio: 0.2,
                 slack: 100.0,
-                window: Duration::from_secs(10),
                 nodes: ASSUMED_NODES,
             },
         };
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -15,6 +15,7 @@
 use base::UpstreamId;
 use base::UpstreamState;
 use base::ZoneName;
+use rand::Rng;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
@@ -349,7 +350,7 @@
     }
 
     /// Takes the token for one repeated sub-request of a service, if more than `reserve` of the tokens are left.
-    pub fn take_repeat(&mut self, service: &ServiceName, reserve: f64) -> bool {
+    pub fn take_repeat(&mut self, service: &ServiceName, reserve: f64, rng: &mut dyn Rng) -> bool {
         let Some(rule) = self.repeat_rule else {
             return true;
         };
@@ -357,7 +358,7 @@
             .repeats
             .entry(service.clone())
             .or_insert_with(|| RepeatBudget::full(&rule));
-        budget.take(reserve, &rule)
+        budget.take(reserve, &rule, rng)
     }
 
     /// Removes the budgets of services that are no longer declared.
--- a/crates/limit/src/repeat.rs
+++ b/crates/limit/src/repeat.rs
@@ -1,6 +1,7 @@
 //! The fleet-wide bound of repeated sub-requests, kept by each node for its own part.
 
-use std::time::Duration;
+use rand::Rng;
+use rand::RngExt;
 
 /// Part of the allowed ratio that is spent, so that requests whose sending failed elsewhere leave a reserve.
 const SPENT_RATIO: f64 = 0.9;
@@ -8,18 +9,13 @@
 /// Part of the allowed slack that the nodes share out among them.
 const SPENT_SLACK: f64 = 0.75;
 
-/// Smallest number of tokens that a node may save up, so that a single lost reply can be replaced.
-const MIN_BURST: f64 = 1.0;
-
 /// What a firm allows in repeated sub-requests to one service, over all nodes together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RepeatRule {
     /// Repeats per request of the service.
     pub ratio: f64,
-    /// Repeats in each window besides.
+    /// Repeats besides, in each of the windows in which the firm counts.
     pub slack: f64,
-    /// Length of the window.
-    pub window: Duration,
     /// Nodes that share the slack.
     pub nodes: u32,
 }
@@ -31,7 +27,7 @@
 
     /// Returns the most tokens that a node saves up: in any window it spends these and what it earns meanwhile.
     fn burst(&self) -> f64 {
-        (self.slack * SPENT_SLACK / f64::from(self.nodes.max(1))).max(MIN_BURST)
+        self.slack * SPENT_SLACK / f64::from(self.nodes.max(1))
     }
 }
 
@@ -39,7 +35,7 @@
 ///
 /// Each request earns a fraction of a token, whether it succeeds or not, because the bound counts the requests that
 /// callers sent. The sum over all nodes stays within the bound without any message between them.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct RepeatBudget {
     tokens: f64,
 }
@@ -56,7 +52,13 @@
     }
 
     /// Takes a token if at least `reserve` tokens, as a fraction of the most that may be saved up, are left then.
-    pub(crate) fn take(&mut self, reserve: f64, rule: &RepeatRule) -> bool {
+    ///
+    /// Where so many nodes share the slack that none saves up a whole token, what is there is the chance of one.
+    pub(crate) fn take(&mut self, reserve: f64, rule: &RepeatRule, rng: &mut dyn Rng) -> bool {
+        if rule.burst() < 1.0 {
+            let chance = std::mem::take(&mut self.tokens);
+            return rng.random::<f64>() < chance;
+        }
         if self.tokens < 1.0 + reserve * (rule.burst() - 1.0) {
             return false;
         }
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -352,7 +352,7 @@
             } else {
                 0.0
             };
-            if !env.limits.take_repeat(service, reserve) {
+            if !env.limits.take_repeat(service, reserve, env.rng) {
                 // Requests earn repeats all the time, and a late answer is better than none.
                 picked = Err(Blocked::Limit);
             }
--- a/crates/query/tests/gather.rs
+++ b/crates/query/tests/gather.rs
@@ -131,10 +131,9 @@
         self.limits.set_repeat_rule(RepeatRule {
             ratio,
             slack: 0.0,
-            window: ms(10_000),
             nodes: 1,
         });
-        while self.limits.take_repeat(&"s0".into(), 0.0) {}
+        while self.limits.take_repeat(&"s0".into(), 0.0, &mut self.rng) {}
         self.start();
         self.end(0, Some(Failure::Lost), 10);
     }
