--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -31,8 +31,9 @@
         let now = Instant::now();
         let mut guard = node.state.borrow_mut();
         let state = &mut *guard;
-        for id in state.directory.expire(now, &mut state.limits) {
+        for (id, change) in state.directory.expire(now, &mut state.limits) {
             log::info!(server = id.as_str(); "servers: did not come back");
+            close_dropped(state, change);
         }
         state.pool.sweep(now);
     }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -213,17 +213,19 @@
     }
 
     /// Removes the servers that did not register again in time.
-    pub fn expire(&mut self, now: Instant, limits: &mut Limits) -> Vec<UpstreamId> {
+    pub fn expire(&mut self, now: Instant, limits: &mut Limits) -> Vec<(UpstreamId, Change)> {
         let due: Vec<UpstreamId> = self
             .lapsing
             .iter()
             .filter(|(_, until)| **until <= now)
             .map(|(id, _)| id.clone())
             .collect();
-        for id in &due {
-            self.remove(id, limits);
-        }
-        due
+        due.into_iter()
+            .map(|id| {
+                let change = self.remove(&id, limits);
+                (id, change)
+            })
+            .collect()
     }
 
     fn add_gate(
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -167,7 +167,9 @@
 
     rig.directory.lapse(&"i-1".into(), later);
     let end = later + Duration::from_millis(2_500);
-    assert_eq!(rig.directory.expire(end, &mut rig.limits).len(), 1);
+    let expired = rig.directory.expire(end, &mut rig.limits);
+    // What is dropped has its connections closed and is counted.
+    assert!(matches!(&expired[..], [(id, Change::Dropped(_))] if id == "i-1"));
     assert_eq!(rig.usable("one"), 0);
 }
 
