--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -25,6 +25,9 @@
 const SWEEP_TIME: Duration = Duration::from_millis(500);
 
 /// Removes what has ended, at a fixed interval.
+/// Faults of one configuration that are logged.
+const MAX_FAULTS: usize = 8;
+
 pub(crate) async fn sweep(node: Rc<Node>) {
     loop {
         tokio::time::sleep(SWEEP_TIME).await;
@@ -121,6 +124,9 @@
                 return;
             }
             log::info!(revision = table.revision, before:? = known, routes = table.len(); "configuration: in force");
+            for fault in table.find_faults().iter().take(MAX_FAULTS) {
+                log::warn!(revision = table.revision, reason = fault.as_str(); "configuration: fault");
+            }
             state.set_table(*table);
         }
         Value::Server(server) => {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -130,6 +130,61 @@
         Some(Rc::clone(route))
     }
 
+    /// Returns what can't be meant in this configuration, each as one line that names the route.
+    ///
+    /// Such routes are served as far as they can be: an operator's mistake in one route must not hold up the others.
+    pub fn find_faults(&self) -> Vec<String> {
+        let mut faults: Vec<String> = self
+            .hosts
+            .values()
+            .flatten()
+            .flat_map(|route| {
+                let name = &route.name;
+                self.find_route_faults(route)
+                    .into_iter()
+                    .map(move |fault| format!("route {name}: {fault}"))
+            })
+            .collect();
+        faults.sort();
+        faults
+    }
+
+    fn find_route_faults(&self, route: &Route) -> Vec<String> {
+        let mut faults = Vec::new();
+        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+            faults.push(format!("prefix {} lacks a slash", route.prefix));
+        }
+        if route.timeout.is_zero() {
+            faults.push("no time is allowed".to_owned());
+        }
+        let named: Vec<&ServiceName> = match &route.target {
+            Target::Services(services) => {
+                let is_weight = |weight: &f64| weight.is_finite() && *weight >= 0.0;
+                let weights = services.iter().map(|(_, weight)| weight);
+                if !weights.clone().all(is_weight) || weights.sum::<f64>() <= 0.0 {
+                    faults.push("its weights give no shares".to_owned());
+                }
+                services.iter().map(|(service, _)| service).collect()
+            }
+            Target::Shards {
+                services, least, ..
+            } => {
+                if !(0.0..=1.0).contains(least) {
+                    faults.push(format!("{least} is no share of the shards"));
+                }
+                if services.is_empty() {
+                    faults.push("it has no shards".to_owned());
+                }
+                services.iter().collect()
+            }
+        };
+        let unknown = named
+            .into_iter()
+            .filter(|service| !self.services.contains_key(*service));
+        faults.extend(unknown.map(|service| format!("service {service} is not declared")));
+        faults
+    }
+
     /// Returns the names of all routes.
     pub fn route_names(&self) -> impl Iterator<Item = &RouteName> {
         self.hosts.values().flatten().map(|route| &route.name)
