--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 mod fleet;
 mod http_upstream;
+pub mod journal;
 pub mod load;
 pub mod model;
 mod model_claim;
--- a/crates/limpetwick/src/flags.rs
+++ b/crates/limpetwick/src/flags.rs
@@ -158,6 +158,16 @@
                 optional --trace
             }
 
+            /// Writes an HTML page over the journal of measured runs: worth by day and commit.
+            ///
+            /// Example: limpetwick lab journal --dir journal --out journal.html
+            cmd journal {
+                /// Directory with one JSON file per run.
+                required --dir path: PathBuf
+                /// File of the page.
+                required --out path: PathBuf
+            }
+
             /// Explores the claim protocol and the acceptance of configurations exhaustively.
             cmd model {
                 /// Fault to seed into the specification, which then has to be found.
--- a/crates/limpetwick/src/main.rs
+++ b/crates/limpetwick/src/main.rs
@@ -83,6 +83,7 @@
             LabCmd::Upstreams(args) => upstreams(args).await,
             LabCmd::Vm(args) => register_vm(args).await,
             LabCmd::Scenario(args) => run_scenarios(args, &mut out),
+            LabCmd::Journal(args) => finish(write_journal(args, &mut out)),
             LabCmd::Model(args) => run_model(args),
             LabCmd::Slopes(args) => run_slopes(args, &mut out),
             LabCmd::Claims(args) => run_claims(args),
@@ -228,6 +229,15 @@
     finish(passed.map(|passed| if passed { 0 } else { EXIT_FAILED }))
 }
 
+fn write_journal(args: flags::Journal, out: &mut impl io::Write) -> io::Result<u8> {
+    let page = lab::journal::render_journal(&args.dir).map_err(io::Error::other)?;
+    let path = args.out.display();
+    std::fs::write(&args.out, page)
+        .map_err(|error| io::Error::new(error.kind(), format!("{path}: {error}")))?;
+    writeln!(out, "wrote {path}")?;
+    Ok(0)
+}
+
 fn run_model(args: flags::Model) -> ExitCode {
     let fault = args.fault.as_deref().map(Fault::parse);
     if let Some(None) = fault {
