gateway: a relay for each 24 gateways of a zone

Cause: in each zone one gateway passed on everything it read from the store.

Ruled out: a chain of relays, which would save calls, but a silent gateway in the middle holds up its whole group.

Change: a large zone is cut into groups of at most 24 in the order of names, each with a relay of its own. Zones of up to 24 gateways, as all of the four sites have, are one group as before.

large_zone_has_several_relays fails before with 99 followers of one gateway.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Other gateways: which there are, and passing on what one of them reads from the store.
 //!
 //! Every call to the store has its price, and a waiting watch is one call for each gateway and change. In each zone the
-//! gateways therefore follow the first of them that answers, and only that one follows the store. A gateway whose relay
+//! gateways therefore follow the first of their group that answers, and only that one follows the store. A gateway whose relay
 //! is silent, unsure or too far behind asks the store itself at once, so that a lost relay costs calls but no time. See
 //! docs/decisions/0006-relays.md.
 
@@ -27,6 +27,9 @@
 /// Changes that a relay keeps.
 const MAX_LOG: usize = 64;
 
+/// Most gateways of a zone that follow the store through the same one, itself included.
+const GROUP: usize = 24;
+
 /// Time for which a relay that did not answer is passed over.
 const SILENT_PASS: Duration = Duration::from_secs(4);
 
@@ -99,13 +102,34 @@
                 .get(&peer.node)
                 .is_some_and(|until| now < *until)
         };
-        let first = self
-            .known
-            .iter()
-            .find(|peer| peer.zone == *zone && (peer.node == *node || !is_passed(peer)))?;
+        let group = self.find_group(node, zone);
+        let first = group
+            .into_iter()
+            .find(|peer| peer.node == *node || !is_passed(peer))?;
         (first.node != *node).then(|| first.clone())
     }
 
+    /// Returns the gateways of a zone that follow the same one as `node`, in the order in which they are followed.
+    ///
+    /// A large zone is cut into groups of like size, since a relay sends each change to all that follow it, and everything
+    /// to each that starts.
+    fn find_group(&self, node: &NodeId, zone: &ZoneName) -> Vec<&Peer> {
+        let mut own = self.known.iter().filter(|peer| peer.zone == *zone);
+        let size = own.clone().count();
+        let groups = size.div_ceil(GROUP).max(1);
+        // A gateway that isn't registered yet follows the first group.
+        let at = own.position(|peer| peer.node == *node).unwrap_or(0);
+        let group = at * groups / size.max(1);
+        let is_own = |at: usize| at * groups / size == group;
+        self.known
+            .iter()
+            .filter(|peer| peer.zone == *zone)
+            .enumerate()
+            .filter(|(at, _)| is_own(*at))
+            .map(|(_, peer)| peer)
+            .collect()
+    }
+
     /// Passes over a gateway that did not answer or has lost the store itself.
     pub fn pass_over(&mut self, node: &NodeId, answer: &Passed, now: Instant) {
         let time = match answer {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,5 +1,6 @@
 //! Which gateway follows which, and what a relay can tell.
 
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +11,7 @@
 use gateway::Peers;
 use gateway::Snapshot;
 use proptest::prelude::*;
+use rstest::rstest;
 
 fn peer(node: &str, zone: &str) -> Peer {
     Peer {
@@ -49,6 +51,36 @@
     assert_eq!(relay_of(&peers, "d", now).as_deref(), Some("b"));
 }
 
+/// Guards against a relay that sends every change to a whole large zone (2.5 MB/s at 300 VMs), against groups that are cut
+/// differently by their members, and against more relays than the groups need.
+#[rstest]
+#[case::one_group(24, 1)]
+#[case::two_groups(25, 2)]
+#[case::five_groups(100, 5)]
+#[case::aim(198, 9)]
+fn large_zone_has_several_relays(#[case] nodes: usize, #[case] relays: usize) {
+    let mut peers = Peers::default();
+    let names: Vec<String> = (0..nodes).map(|at| format!("n-{at:03}")).collect();
+    peers.set(names.iter().map(|name| peer(name, "z")).collect());
+    let now = Instant::now();
+    let mut followers: HashMap<String, usize> = HashMap::new();
+    for name in &names {
+        let relay = relay_of(&peers, name, now).unwrap_or_else(|| name.clone());
+        assert_eq!(relay_of(&peers, &relay, now), None, "{relay} is followed");
+        *followers.entry(relay).or_default() += 1;
+    }
+    assert_eq!(followers.len(), relays);
+    assert!(
+        followers.values().all(|count| *count <= 24),
+        "{followers:?}"
+    );
+
+    let first = names[0].clone();
+    peers.pass_over(&first.as_str().into(), &Passed::Silent, now);
+    let next = relay_of(&peers, &names[2], now);
+    assert_eq!(next.as_deref(), Some(names[1].as_str()));
+}
+
 /// Guards against a gateway that waits for a relay that is gone, and against one that never returns to it.
 #[test]
 fn silent_relay_is_passed_over_for_a_time() {
