--- a/crates/conf/src/in_force.rs
+++ b/crates/conf/src/in_force.rs
@@ -149,12 +149,6 @@
         }
     }
 
-    /// Returns the age of the last confirmation, which a node reports to its peers with the revision.
-    pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
-        let confirmed = self.confirmed?;
-        Some(now.saturating_duration_since(confirmed))
-    }
-
     /// Tells whether the configuration in force was confirmed within [`FRESH_BOUND`].
     pub fn freshness(&self, now: Instant) -> Freshness {
         let since = self.confirmed.unwrap_or(self.started);
--- a/crates/lab/src/deploy.rs
+++ b/crates/lab/src/deploy.rs
@@ -149,17 +149,6 @@
                 .for_each(|server| server.connections = connections);
         }
     }
-
-    /// Gives the servers consecutive loopback ports, so that settings files can name them beforehand.
-    pub fn assign_ports(&mut self, first: u16) {
-        let upstreams = self
-            .indexes
-            .iter_mut()
-            .flat_map(|index| &mut index.state.upstreams);
-        for (upstream, port) in upstreams.zip(first..) {
-            upstream.addr = SocketAddr::from(([127, 0, 0, 1], port));
-        }
-    }
 }
 
 fn build(
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -164,11 +164,6 @@
         }
     }
 
-    /// Tells whether the upstream said that it is draining.
-    pub fn is_draining(&self) -> bool {
-        self.drained.is_some()
-    }
-
     /// Returns when the upstream last replied to anything, or `None` before its first reply.
     pub fn last_heard(&self) -> Option<Instant> {
         self.heard
