gateway: split what happens before a request is sent, and the answers, from the request

request.rs had grown to 549 lines with three jobs. `admit` finds the route, takes the memory and reads the body, `answer` makes answers, `request` drives the gather (382 lines). No change of behaviour; the tests of platform and gateway pass.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,12 +1,14 @@
 //! The gateway: callers send plain HTTP requests, and each goes to one server or to one server of every shard.
 //!
-//! A request takes one way through the crate: `ingress` reads it, `request` finds its route in the [`Table`] and drives
+//! A request takes one way through the crate: `ingress` reads it, `admit` finds its route in the [`Table`], `request` drives
 //! [`query::Gather`], `attempt` sends each sub-request over a connection of `pool`, and `merge` puts the parts together.
 //! `sync` follows the configuration and the [`Directory`] of servers in the platform's store or through the relay of the zone
 //! (`roster`, `relay`, [`Peers`]), and `apply` takes them in. Names and formats of a
 //! platform come from outside, through [`Platform`]. See docs/decisions/0005-platform.md.
 
 mod accept;
+mod admit;
+mod answer;
 mod apply;
 mod attempt;
 mod body;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -30,48 +30,33 @@
 use tokio::task::JoinSet;
 
 use crate::Route;
-use crate::Table;
 use crate::Target;
+use crate::admit::Accepted;
+use crate::admit::admit;
+use crate::answer::Answer;
+use crate::answer::pass_reply;
+use crate::answer::refuse;
+use crate::answer::reply_error;
 use crate::attempt::Lost;
 use crate::attempt::Outgoing;
 use crate::attempt::Reply;
-use crate::attempt::remove_hop_headers;
 use crate::attempt::send_attempt;
-use crate::body::BodyError;
-use crate::body::Reserved;
-use crate::body::read_body;
 use crate::merge::merge_records;
 use crate::metrics::Counter;
 use crate::node::Node;
 
-/// Time before the objective at which an answer without the last parts leaves, so that it arrives in time.
-const ANSWER_MARGIN: Duration = Duration::from_millis(15);
-
 /// Time for which sub-requests that are no longer needed may end by themselves, so that their connections are kept.
 const LOSER_TIME: Duration = Duration::from_millis(250);
 
-/// Longest time for which a request waits for a process that has just started to learn its configuration.
-const LOAD_TIME: Duration = Duration::from_millis(700);
-
 /// Services without a part that a log line names.
 const MAX_NAMED: usize = 4;
 
-/// Time after which a caller is asked to come back when no server could take its request.
-const RETRY_AFTER: &str = "0.2";
-
-/// Memory that a request takes besides its body: its head, tasks and buffers.
-const REQUEST_BYTES: u64 = 16 << 10;
-
-/// Memory that a sub-request takes besides its reply: its head, task and buffers.
-const ATTEMPT_BYTES: u64 = 8 << 10;
-
-type Answer = Response<Full<Bytes>>;
 type Event = (AttemptId, Result<Reply, Lost>);
 
 /// Handles one request; dropping the future closes the connections on which its sub-requests are under way.
 pub(crate) async fn handle_request(node: Rc<Node>, request: Request<Incoming>) -> Answer {
     let arrived = Instant::now();
-    let mut answer = match accept(&node, request, arrived).await {
+    let mut answer = match admit(&node, request, arrived).await {
         Ok(accepted) => run(&node, accepted).await,
         Err(answer) => answer,
     };
@@ -82,135 +67,6 @@
     answer
 }
 
-/// A request with the route that it takes.
-struct Accepted {
-    /// Configuration in which the route was found; another may come into force while the body is read.
-    revision: Revision,
-    route: Rc<Route>,
-    outgoing: Outgoing,
-    /// Moment from which an answer without some parts is better than waiting for them.
-    objective: Instant,
-    /// Memory for the request and its body.
-    room: Reserved,
-}
-
-/// Finds the route of a request and reads its body.
-async fn accept(
-    node: &Rc<Node>,
-    request: Request<Incoming>,
-    arrived: Instant,
-) -> Result<Accepted, Answer> {
-    let (mut head, body) = request.into_parts();
-    let given = read_deadline(node, &head);
-    let Some(table) = wait_for_table(node, given).await else {
-        return Err(refuse("no configuration is known"));
-    };
-    let Some(id) = head.headers.get(&node.headers.request_id).cloned() else {
-        return Err(reply_error(
-            StatusCode::BAD_REQUEST,
-            "the request has no id",
-        ));
-    };
-    let route = find_route(&table, &head).ok_or_else(|| {
-        let mut state = node.state.borrow_mut();
-        state.metrics.count(Counter::RequestNoRoute);
-        if let Some(skipped) = state.allow_line("no route") {
-            let id = id.to_str().unwrap_or("?");
-            log::info!(id, revision = table.revision, path = head.uri.path(), skipped; "request: no route");
-        }
-        reply_error(StatusCode::NOT_FOUND, "no route matches")
-    })?;
-    let left = given.unwrap_or(route.timeout);
-    let deadline = arrived + left.min(route.timeout);
-    let cost = REQUEST_BYTES + ATTEMPT_BYTES * route.target.width();
-    let mut room = Reserved::admit(node, route.rank, cost)
-        .ok_or_else(|| refuse_for_room(node, &id, &route))?;
-    let reading = read_body(body, table.bounds.body_bytes, &mut room);
-    let body = match tokio::time::timeout_at(deadline.into(), reading).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLarge)) => {
-            return Err(reply_error(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too large",
-            ));
-        }
-        Ok(Err(BodyError::Broken)) => {
-            return Err(reply_error(StatusCode::BAD_REQUEST, "the body broke off"));
-        }
-        Ok(Err(BodyError::NoRoom)) => return Err(refuse_for_room(node, &id, &route)),
-        Err(_) => {
-            let mut answer =
-                reply_error(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
-            let close = HeaderValue::from_static("close");
-            answer.headers_mut().insert(http::header::CONNECTION, close);
-            return Err(answer);
-        }
-    };
-    let spent = node.state.borrow_mut().time_spent(&route, left);
-    let objective = arrived + route.objective.saturating_sub(spent + ANSWER_MARGIN);
-    remove_hop_headers(&mut head.headers);
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let uri = path
-        .parse()
-        .map_err(|_| reply_error(StatusCode::BAD_REQUEST, "the path is not valid"))?;
-    let outgoing = Outgoing {
-        method: head.method,
-        uri,
-        headers: head.headers,
-        body,
-        id,
-        repeatable: route.repeatable,
-        deadline,
-    };
-    Ok(Accepted {
-        revision: table.revision,
-        route,
-        outgoing,
-        objective,
-        room,
-    })
-}
-
-/// Refuses a request for which there is no memory; nothing of it has run.
-fn refuse_for_room(node: &Node, id: &HeaderValue, route: &Route) -> Answer {
-    let mut state = node.state.borrow_mut();
-    state.metrics.count(Counter::RequestNoRoom);
-    if let Some(skipped) = state.allow_line("no room") {
-        let id = id.to_str().unwrap_or("?");
-        let (route, rank) = (route.name.as_str(), route.rank);
-        let held = state.room.held();
-        log::warn!(id, route, rank, held, skipped; "request: no memory");
-    }
-    refuse("no memory is left")
-}
-
-fn read_deadline(node: &Node, head: &http::request::Parts) -> Option<Duration> {
-    let value = head.headers.get(&node.headers.deadline)?;
-    let millis = value.to_str().ok()?.trim().parse().ok()?;
-    Some(Duration::from_millis(millis))
-}
-
-/// Returns the configuration, after waiting for a short time if this process has just started.
-///
-/// A process learns it within a fraction of a second, sooner than a refused caller would be back.
-async fn wait_for_table(node: &Node, left: Option<Duration>) -> Option<Rc<Table>> {
-    let loaded = node.loaded.notified();
-    if !node.state.borrow().is_loaded() {
-        let wait = left.map_or(LOAD_TIME, |left| (left / 3).min(LOAD_TIME));
-        // Without it the request is refused below.
-        let _ = tokio::time::timeout(wait, loaded).await;
-    }
-    node.state.borrow().table.clone()
-}
-
-fn find_route(table: &Table, head: &http::request::Parts) -> Option<Rc<Route>> {
-    let host = match head.headers.get(http::header::HOST) {
-        Some(host) => host.to_str().ok()?,
-        None => head.uri.host()?,
-    };
-    table.find(host, head.uri.path())
-}
-
 /// Counts the callers that leave before their answer, when the future of their request is dropped.
 struct Waiting<'a> {
     node: &'a Node,
@@ -524,26 +380,3 @@
     }
     text
 }
-
-fn pass_reply(reply: Reply) -> Answer {
-    let mut answer = Response::new(Full::new(reply.body));
-    *answer.status_mut() = reply.status;
-    *answer.headers_mut() = reply.headers;
-    remove_hop_headers(answer.headers_mut());
-    answer
-}
-
-fn refuse(reason: &'static str) -> Answer {
-    let mut answer = reply_error(StatusCode::SERVICE_UNAVAILABLE, reason);
-    let after = HeaderValue::from_static(RETRY_AFTER);
-    answer
-        .headers_mut()
-        .insert(http::header::RETRY_AFTER, after);
-    answer
-}
-
-fn reply_error(status: StatusCode, reason: &'static str) -> Answer {
-    let mut answer = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
-    *answer.status_mut() = status;
-    answer
-}
