limit: a fleet without slack keeps what its requests earn

Change: a node alone saves up a whole token, as before; of several, each saves up at least what one request earns, as a chance of a repeat.

Ruled out: a whole token for each of several nodes, which is what large_fleet_keeps_the_bound forbids.

--- a/crates/limit/src/repeat.rs
+++ b/crates/limit/src/repeat.rs
@@ -26,8 +26,12 @@
     }
 
     /// Returns the most tokens that a node saves up: in any window it spends these and what it earns meanwhile.
+    ///
+    /// A node alone saves up a whole token, which it has earned by then; many nodes that all did so would exceed the bound.
     fn burst(&self) -> f64 {
-        self.slack * SPENT_SLACK / f64::from(self.nodes.max(1))
+        let share = self.slack * SPENT_SLACK / f64::from(self.nodes.max(1));
+        let least = if self.nodes > 1 { self.earned() } else { 1.0 };
+        share.max(least)
     }
 }
 
