lab: one queue of events and one way to draw a plot

Cause: four runs in virtual time (benchmark, scenarios, slopes, claims) had a heap of their own with the same order, two as a type with four impls, two as a heap of numbers beside a map of events; and three plots had the same SVG frame.

Change: `Agenda` keeps the events for all four, `draw_svg` the frame for all three.

--- a/crates/lab/src/bench/html.rs
+++ b/crates/lab/src/bench/html.rs
@@ -4,20 +4,19 @@
 
 use plotters::prelude::ChartBuilder;
 use plotters::prelude::Color;
-use plotters::prelude::IntoDrawingArea;
 use plotters::prelude::IntoLogRange;
 use plotters::prelude::LineSeries;
 use plotters::prelude::RGBColor;
 use plotters::prelude::Rectangle;
-use plotters::prelude::SVGBackend;
 use plotters::prelude::Text;
-use plotters::prelude::WHITE;
 
 use crate::bench::BenchError;
 use crate::bench::Case;
 use crate::bench::Condition;
 use crate::bench::Policy;
 use crate::bench::Report;
+use crate::plot::PlotResult;
+use crate::plot::draw_svg;
 
 /// Size of a plot in pixels.
 const SIZE: (u32, u32) = (900, 320);
@@ -130,19 +129,14 @@
     text
 }
 
-type PlotResult = Result<String, Box<dyn std::error::Error>>;
-
 /// Draws a group of four bars for each condition: the policies, then the ideal bound.
-fn plot_p99(cases: &[&Case]) -> PlotResult {
+fn plot_p99(cases: &[&Case]) -> PlotResult<String> {
     let highest = cases
         .iter()
         .map(|case| case.latency.p99)
         .fold(1.0, f64::max);
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        area.fill(&WHITE)?;
-        let mut chart = ChartBuilder::on(&area)
+    draw_svg(SIZE, |area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(30)
             .y_label_area_size(50)
@@ -174,18 +168,14 @@
                 chart.draw_series([bar(left + 0.2, case.ideal.p99, IDEAL)])?;
             }
         }
-        area.present()?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
 
 /// Draws the fraction of queries that took longer, over the latency.
-fn plot_service(cases: &[&Case], name: &str) -> PlotResult {
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        area.fill(&WHITE)?;
-        let mut chart = ChartBuilder::on(&area)
+fn plot_service(cases: &[&Case], name: &str) -> PlotResult<String> {
+    draw_svg(SIZE, |area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(30)
             .y_label_area_size(60)
@@ -205,9 +195,8 @@
                 chart.draw_series(LineSeries::new(points, style))?;
             }
         }
-        area.present()?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
 
 fn list_slower(histogram: &[(f64, u64)]) -> Vec<(f64, f64)> {
--- a/crates/lab/src/bench/world.rs
+++ b/crates/lab/src/bench/world.rs
@@ -1,8 +1,6 @@
 //! The event loop of one case: one heap of events in virtual time.
 
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +20,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::agenda::Agenda;
 use crate::bench::condition::Condition;
 use crate::bench::condition::Policy;
 use crate::bench::condition::Step;
@@ -108,33 +107,6 @@
     pub(crate) wake: Option<Instant>,
 }
 
-struct Due {
-    at: Instant,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Due) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Due) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    /// Orders the earliest event last, since the heap gives out the greatest.
-    fn cmp(&self, other: &Due) -> Ordering {
-        (other.at, other.number).cmp(&(self.at, self.number))
-    }
-}
-
 /// The state of one case.
 pub(crate) struct World<'a> {
     pub(crate) workload: &'a Workload,
@@ -149,8 +121,7 @@
     pub(crate) cut: Option<usize>,
     pub(crate) tally: Tally,
     pub(crate) rng: Pcg64Mcg,
-    heap: BinaryHeap<Due>,
-    pushed: u64,
+    agenda: Agenda<Instant, Event>,
     arrivals: Pcg64Mcg,
     ideals: Pcg64Mcg,
     gap: Exp<f64>,
@@ -169,12 +140,12 @@
     measured: Duration,
 ) -> Case {
     let mut world = World::new(workload, condition, policy, seed, measured);
-    while let Some(due) = world.heap.pop() {
-        if world.now < world.measure.1 && due.at >= world.measure.1 {
+    while let Some((at, event)) = world.agenda.pop() {
+        if world.now < world.measure.1 && at >= world.measure.1 {
             world.busy = world.sum_busy() - world.busy;
         }
-        world.now = due.at;
-        world.handle(due.event);
+        world.now = at;
+        world.handle(event);
     }
     world.finish(condition, measured)
 }
@@ -208,8 +179,7 @@
             cut: None,
             tally: Tally::new(workload.services.len()),
             rng: Pcg64Mcg::seed_from_u64(own),
-            heap: BinaryHeap::new(),
-            pushed: 0,
+            agenda: Agenda::new(),
             arrivals: Pcg64Mcg::seed_from_u64(common),
             ideals: Pcg64Mcg::seed_from_u64(common ^ 1),
             gap: Exp::new(rate).expect("the rate is positive"),
@@ -242,12 +212,7 @@
     }
 
     pub(crate) fn push(&mut self, at: Instant, event: Event) {
-        self.pushed += 1;
-        self.heap.push(Due {
-            at: at.max(self.now),
-            number: self.pushed,
-            event,
-        });
+        self.agenda.push(at.max(self.now), event);
     }
 
     fn handle(&mut self, event: Event) {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,7 +1,5 @@
 //! A fleet of real views that exchange heartbeats through a queue of events in virtual time.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +20,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::SlopeOptions;
+use crate::agenda::Agenda;
 
 const ZONES: [&str; 6] = [
     "attiki",
@@ -62,9 +61,7 @@
     pub(crate) by_id: HashMap<NodeId, usize>,
     listed: Vec<Vm>,
     pub(crate) indexes: Vec<(CompactString, Vec<Upstream>)>,
-    events: BinaryHeap<Reverse<(Duration, u64)>>,
-    bodies: HashMap<u64, Event>,
-    order: u64,
+    agenda: Agenda<Duration, Event>,
     start: Instant,
     pub(crate) time: Duration,
     pub(crate) cut: Option<usize>,
@@ -89,9 +86,7 @@
             by_id: HashMap::new(),
             listed: Vec::new(),
             indexes: make_indexes(options.upstreams),
-            events: BinaryHeap::new(),
-            bodies: HashMap::new(),
-            order: 0,
+            agenda: Agenda::new(),
             start: Instant::now(),
             time: Duration::ZERO,
             cut: None,
@@ -161,22 +156,14 @@
     }
 
     pub(crate) fn schedule(&mut self, delay: Duration, event: Event) {
-        self.order += 1;
-        self.events.push(Reverse((self.time + delay, self.order)));
-        self.bodies.insert(self.order, event);
+        self.agenda.push(self.time + delay, event);
     }
 
     pub(crate) fn run(&mut self, span: Duration) {
         let end = self.time + span;
-        while let Some(&Reverse((at, order))) = self.events.peek() {
-            if at > end {
-                break;
-            }
-            self.events.pop();
+        while let Some((at, event)) = self.agenda.pop_until(end) {
             self.time = at;
-            if let Some(event) = self.bodies.remove(&order) {
-                self.handle(event);
-            }
+            self.handle(event);
         }
         self.time = end;
     }
--- a/crates/lab/src/journal.rs
+++ b/crates/lab/src/journal.rs
@@ -9,17 +9,18 @@
 use plotters::prelude::ChartBuilder;
 use plotters::prelude::Circle;
 use plotters::prelude::Color;
-use plotters::prelude::IntoDrawingArea;
 use plotters::prelude::LineSeries;
 use plotters::prelude::Palette;
 use plotters::prelude::Palette99;
 use plotters::prelude::PathElement;
-use plotters::prelude::SVGBackend;
 use plotters::prelude::WHITE;
 use serde::Deserialize;
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::plot::PlotResult;
+use crate::plot::draw_svg;
+
 /// Size of a plot in pixels.
 const SIZE: (u32, u32) = (1_000, 380);
 
@@ -174,17 +175,11 @@
     lines
 }
 
-fn plot_lines(
-    lines: &BTreeMap<&str, Vec<(f64, f64)>>,
-    runs: usize,
-) -> Result<String, Box<dyn std::error::Error>> {
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        area.fill(&WHITE)?;
+fn plot_lines(lines: &BTreeMap<&str, Vec<(f64, f64)>>, runs: usize) -> PlotResult<String> {
+    draw_svg(SIZE, |area| {
         let worths = lines.values().flatten().map(|(_, worth)| *worth);
         let least = worths.fold(0.0, f64::min);
-        let mut chart = ChartBuilder::on(&area)
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(30)
             .y_label_area_size(50)
@@ -208,9 +203,8 @@
             .configure_series_labels()
             .background_style(WHITE)
             .draw()?;
-        area.present()?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
 
 fn list_runs(runs: &[&Run], page: &mut String) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for upstreams and the platform, load generation and experiments.
 
+mod agenda;
 pub mod bench;
 mod broken;
 pub mod control;
@@ -17,6 +18,7 @@
 mod model_conf;
 pub mod model_cost;
 pub mod platform;
+mod plot;
 pub mod report;
 pub mod rig;
 pub mod scenario;
--- a/crates/lab/src/model_cost.rs
+++ b/crates/lab/src/model_cost.rs
@@ -4,9 +4,7 @@
 //! needs two changes of its ledger; requests that arrive while a write is under way, or while the budget is used up,
 //! share the next one.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
@@ -31,6 +29,8 @@
 use once::Verdict;
 use once::WriteResult;
 
+use crate::agenda::Agenda;
+
 /// Homes that share the ledgers, as with 15 VMs.
 const HOMES: usize = 15;
 
@@ -97,14 +97,12 @@
     let mut run = Run::new(offered);
     let end_us = WARM_UP_US + seconds * 1_000_000;
     run.schedule(0, Input::Arrive(0));
-    while let Some(Reverse((at_us, _, slot))) = run.queue.pop() {
+    while let Some((at_us, input)) = run.agenda.pop() {
         if at_us >= end_us {
             break;
         }
         run.now_us = at_us;
-        if let Some(input) = run.inputs.remove(&slot) {
-            run.take(input);
-        }
+        run.take(input);
     }
     let per_second = |count: u64| count as f64 / seconds as f64;
     ClaimCost {
@@ -136,10 +134,8 @@
     version: u64,
     /// The earliest wake of each home that is in the queue.
     wakes: [Option<u64>; HOMES],
-    /// Moments in order; the second number keeps events of one moment in their order and finds the input.
-    queue: BinaryHeap<Reverse<(u64, u64, u64)>>,
-    inputs: BTreeMap<u64, Input>,
-    next: u64,
+    /// Inputs by their moment, in microseconds.
+    agenda: Agenda<u64, Input>,
     writes: u64,
     waits: Histogram<u64>,
 }
@@ -156,18 +152,14 @@
             objects: BTreeMap::new(),
             version: 0,
             wakes: [None; HOMES],
-            queue: BinaryHeap::new(),
-            inputs: BTreeMap::new(),
-            next: 0,
+            agenda: Agenda::new(),
             writes: 0,
             waits: Histogram::new(3).expect("three digits are allowed"),
         }
     }
 
     fn schedule(&mut self, at_us: u64, input: Input) {
-        self.next += 1;
-        self.inputs.insert(self.next, input);
-        self.queue.push(Reverse((at_us, self.next, self.next)));
+        self.agenda.push(at_us, input);
     }
 
     fn take(&mut self, input: Input) {
--- a/crates/lab/src/scenario/world.rs
+++ b/crates/lab/src/scenario/world.rs
@@ -1,9 +1,7 @@
 //! The event loop of one scenario: one heap of events in virtual time, and who can reach whom.
 
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,6 +18,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::agenda::Agenda;
 use crate::bench::network::Port;
 use crate::bench::network::delay;
 use crate::scenario::call::CallRecord;
@@ -103,33 +102,6 @@
     pub(crate) repeats: bool,
 }
 
-struct Due {
-    at: Instant,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Due) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Due) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    /// Orders the earliest event last, since the heap gives out the greatest.
-    fn cmp(&self, other: &Due) -> Ordering {
-        (other.at, other.number).cmp(&(self.at, self.number))
-    }
-}
-
 /// The state of one scenario.
 pub(crate) struct World<'a> {
     pub(crate) file: &'a File,
@@ -154,8 +126,7 @@
     pub(crate) failures: Vec<String>,
     pub(crate) events: Vec<String>,
     cuts: BTreeSet<(usize, usize)>,
-    heap: BinaryHeap<Due>,
-    pushed: u64,
+    agenda: Agenda<Instant, Event>,
 }
 
 impl<'a> World<'a> {
@@ -181,28 +152,19 @@
             failures: Vec::new(),
             events: Vec::new(),
             cuts: BTreeSet::new(),
-            heap: BinaryHeap::new(),
-            pushed: 0,
+            agenda: Agenda::new(),
         }
     }
 
     pub(crate) fn push(&mut self, at: Instant, event: Event) {
-        self.pushed += 1;
-        self.heap.push(Due {
-            at: at.max(self.now),
-            number: self.pushed,
-            event,
-        });
+        self.agenda.push(at.max(self.now), event);
     }
 
     /// Runs until a moment.
     pub(crate) fn run_until(&mut self, end: Instant) {
-        while let Some(due) = self.heap.pop() {
-            if due.at > end {
-                return;
-            }
-            self.now = due.at;
-            self.handle(due.event);
+        while let Some((at, event)) = self.agenda.pop_until(end) {
+            self.now = at;
+            self.handle(event);
         }
     }
 
