query, limit: look up a quantile once, and the way to a server in one place

Cause: `set_delay` read the quantile of each replica twice for each shard of each query, the second time only to learn whether there was one. `distant_us` chose the way to a server by a match of its own beside `Limits::trip`.

Change: one lookup; `distant_us` calls `trip`.

--- a/crates/limit/src/near.rs
+++ b/crates/limit/src/near.rs
@@ -13,10 +13,10 @@
 use crate::Limits;
 
 /// Round trip to another zone of the region, before one was seen.
-pub(crate) const REGION_TRIP: Duration = Duration::from_millis(2);
+const REGION_TRIP: Duration = Duration::from_millis(2);
 
 /// Round trip to another region, before one was seen.
-pub(crate) const FAR_TRIP: Duration = Duration::from_millis(24);
+const FAR_TRIP: Duration = Duration::from_millis(24);
 
 /// Added to the estimate of a server that stands still: longer than any server is expected to pause.
 const STALL: Duration = Duration::from_secs(1);
--- a/crates/limit/src/pick.rs
+++ b/crates/limit/src/pick.rs
@@ -8,8 +8,6 @@
 use crate::Distance;
 use crate::GateKey;
 use crate::Limits;
-use crate::near::FAR_TRIP;
-use crate::near::REGION_TRIP;
 
 impl Limits {
     /// Chooses the replica for one attempt among `candidates`.
@@ -49,12 +47,7 @@
 
     /// Estimates the time of one more attempt with the way to its zone, which no reply has shown yet on an idle gate.
     fn distant_us(&self, key: GateKey, now: Instant) -> f32 {
-        let way = match self.gates[key].distance {
-            Distance::Zone => 0.0,
-            Distance::Region => REGION_TRIP.as_micros() as f32,
-            Distance::Far => FAR_TRIP.as_micros() as f32,
-        };
-        self.expected_us(key, now) + way
+        self.expected_us(key, now) + self.trip(key).as_micros() as f32
     }
 
     fn pick_within(
--- a/crates/query/src/shard.rs
+++ b/crates/query/src/shard.rs
@@ -188,8 +188,9 @@
 
     /// Sets the hedge delay as [`ShardState::find_delay`] gives it.
     pub(crate) fn set_delay(&mut self, quantile: f64, limits: &Limits) {
-        self.hedge_delay = self.find_delay(quantile, limits);
-        self.guessed = self.find_quantile(quantile, limits).is_none();
+        let known = self.find_quantile(quantile, limits);
+        self.hedge_delay = known.unwrap_or(FIRST_DELAY).max(MIN_DELAY);
+        self.guessed = known.is_none();
     }
 
     /// Sets a hedge delay that does not depend on reply times.
