--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -47,5 +47,6 @@
 pub use crate::message::RunReply;
 pub use crate::message::RunRequest;
 pub use crate::message::UpstreamState;
+pub use crate::rank::hash_candidate;
 pub use crate::rank::hash_key;
 pub use crate::rank::rank_candidates;
--- a/crates/base/src/rank.rs
+++ b/crates/base/src/rank.rs
@@ -8,6 +8,11 @@
     xxh3_64(key.as_bytes())
 }
 
+/// Hashes a candidate for a key that [`hash_key`] has hashed; the candidate with the highest value is the best.
+pub fn hash_candidate(key: u64, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), key)
+}
+
 /// Orders candidates for a key by rendezvous hashing, best first.
 ///
 /// When a candidate is removed, only the keys that ranked it first are reassigned, spread over the other candidates.
@@ -17,12 +22,7 @@
 ) -> Vec<&'a T> {
     let seed = hash_key(key);
     let mut ranked: Vec<(u64, &T)> = candidates
-        .map(|candidate| {
-            (
-                xxh3_64_with_seed(candidate.as_ref().as_bytes(), seed),
-                candidate,
-            )
-        })
+        .map(|candidate| (hash_candidate(seed, candidate.as_ref()), candidate))
         .collect();
     ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.as_ref().cmp(b.1.as_ref())));
     ranked.into_iter().map(|(_, candidate)| candidate).collect()
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -1,12 +1,13 @@
 //! Accepts connections, and serves HTTP on those that need no handling of their own.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -35,11 +36,13 @@
 }
 
 /// Accepts connections until the process ends, and answers their requests with `answer`.
-pub(crate) async fn serve_connections<F>(
+pub(crate) async fn serve_connections<F, B>(
     listener: TcpListener,
     answer: impl Fn(Request<Incoming>) -> F + Clone + 'static,
 ) where
-    F: Future<Output = Response<Full<Bytes>>>,
+    F: Future<Output = Response<B>>,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     accept_connections(listener, |stream| {
         let answer = answer.clone();
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -39,6 +39,7 @@
             close_dropped(state, change);
         }
         state.pool.remove_expired(now);
+        state.holder_pool.remove_expired(now);
     }
 }
 
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -44,7 +44,8 @@
         }
     }
 
-    fn grow(&mut self, bytes: u64) -> bool {
+    /// Adds to the reservation; returns false if the memory budget is exhausted.
+    pub(crate) fn grow(&mut self, bytes: u64) -> bool {
         let fits = self.node.state.borrow_mut().memory.grow(bytes);
         if fits {
             self.bytes += bytes;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -32,6 +32,15 @@
 /// Percentage of a server's connections that is divided among the gateways of its own region.
 const REGION_PERCENT: u32 = 70;
 
+/// How many gateways divide the connections of a shard's servers, if only holders send to them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardSenders {
+    /// In the region of this gateway, which is a holder itself.
+    pub region: u32,
+    /// In all other regions together.
+    pub elsewhere: u32,
+}
+
 /// A server, as described by a report that it wrote to the store.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Server {
@@ -100,6 +109,7 @@
     expiring: HashMap<UpstreamId, Instant>,
     /// Number of gateways that share the servers of each zone.
     nodes: HashMap<ZoneName, u32>,
+    shard_senders: Option<ShardSenders>,
 }
 
 impl Directory {
@@ -108,9 +118,31 @@
         Directory::default()
     }
 
-    /// Sets how many gateways share the servers of each zone; this applies only to servers added later.
-    pub fn set_nodes(&mut self, nodes: HashMap<ZoneName, u32>) {
+    /// Sets how many gateways share the servers of each zone, and those of shards if this gateway is a holder.
+    ///
+    /// [`Directory::update_shares`] applies the numbers to the servers that are known already.
+    pub fn set_nodes(
+        &mut self,
+        nodes: HashMap<ZoneName, u32>,
+        shard_senders: Option<ShardSenders>,
+    ) {
         self.nodes = nodes;
+        self.shard_senders = shard_senders;
+    }
+
+    /// Divides the connections of all servers anew, after the gateways or the configuration changed.
+    pub fn update_shares(
+        &self,
+        settings: &Settings,
+        table: Option<&RouteTable>,
+        limits: &mut Limits,
+    ) {
+        for (server, key) in self.servers.values() {
+            if let Some(key) = key {
+                let share = self.connection_share(server, settings, table);
+                limits.set_share(*key, share);
+            }
+        }
     }
 
     /// Returns the gates of each service's servers that may receive requests.
@@ -246,9 +278,7 @@
         table: Option<&RouteTable>,
         limits: &mut Limits,
     ) -> GateKey {
-        let connections = table
-            .and_then(|table| table.services.get(&server.service))
-            .map_or(u32::MAX, |service| service.connections);
+        let connections = find_connections(server, table);
         let region = settings.regions.get(&server.zone).cloned();
         let upstream = Upstream {
             id: server.id.clone(),
@@ -258,7 +288,7 @@
             slots: server.slots,
             connections,
         };
-        let share = self.connection_share(connections, &server.zone);
+        let share = self.connection_share(server, settings, table);
         let key = limits.set_upstream(&upstream, Some(share));
         let endpoint = Endpoint {
             id: server.id.clone(),
@@ -275,11 +305,26 @@
     /// Returns how many connections to a server this gateway may use.
     ///
     /// The gateways of the server's region divide most of its connections, since they use it all the time; gateways of
-    /// other regions use it rarely.
-    fn connection_share(&self, connections: u32, zone: &ZoneName) -> u32 {
-        let nodes = self.nodes.get(zone).copied().unwrap_or(ASSUMED_NODES);
-        let regional = u64::from(connections) * u64::from(REGION_PERCENT) / 100;
-        let share = regional / u64::from(nodes.max(1));
+    /// other regions use it rarely. Of a shard's servers, holders get the parts of the gateways that they send for.
+    fn connection_share(
+        &self,
+        server: &Server,
+        settings: &Settings,
+        table: Option<&RouteTable>,
+    ) -> u32 {
+        let connections = find_connections(server, table);
+        let is_shard = table.is_some_and(|table| table.is_shard(&server.service));
+        let is_near = settings.regions.get(&server.zone) == Some(&settings.region);
+        let (percent, nodes) = match self.shard_senders.filter(|_| is_shard) {
+            Some(senders) if is_near => (REGION_PERCENT, senders.region),
+            Some(senders) => (100 - REGION_PERCENT, senders.elsewhere),
+            None => {
+                let nodes = self.nodes.get(&server.zone).copied();
+                (REGION_PERCENT, nodes.unwrap_or(ASSUMED_NODES))
+            }
+        };
+        let divided = u64::from(connections) * u64::from(percent) / 100;
+        let share = divided / u64::from(nodes.max(1));
         u32::try_from(share)
             .unwrap_or(u32::MAX)
             .max(MIN_CONNECTIONS)
@@ -294,3 +339,10 @@
         self.replicas.retain(|_, keys| !keys.is_empty());
     }
 }
+
+/// Returns how many connections a server accepts from all gateways together.
+fn find_connections(server: &Server, table: Option<&RouteTable>) -> u32 {
+    table
+        .and_then(|table| table.services.get(&server.service))
+        .map_or(u32::MAX, |service| service.connections)
+}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -30,11 +30,12 @@
             node: state.settings.node.clone(),
             zone: state.settings.zone.clone(),
             addr: state.settings.peer,
+            cores: state.settings.cores,
         }
     };
     loop {
         let delay = match list_peers(&node, &client).await {
-            Ok(peers) if peers.contains(&own) => {
+            Ok(peers) if peers.iter().any(|peer| peer.is_same(&own)) => {
                 update_peers(&node, peers);
                 LIST_INTERVAL
             }
--- /dev/null
+++ b/crates/gateway/src/holders.rs
@@ -0,0 +1,167 @@
+//! Holders: which gateways of a large zone send the attempts of queries over many shards.
+//!
+//! In a zone with dozens of gateways, each of them sees too few requests to know which servers are slow, full or silent,
+//! has too small a part of the limit on repeats, and would need connections of its own to every server. The gateways
+//! with the most processor time therefore send the attempts for all others. Each shard has one holder in a zone, by
+//! rendezvous hashing, so that what it has learned about the shard's servers counts for every request of the zone. See
+//! docs/decisions/0007-holders.md.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::NodeId;
+use base::ServiceName;
+use base::hash_candidate;
+use base::hash_key;
+
+use crate::Peer;
+
+/// Fewest gateways of a zone for which it has holders; in a smaller one each gateway sends its own attempts.
+pub(crate) const MIN_ZONE_SIZE: usize = 12;
+
+/// Fewest holders of a zone, so that the loss of one leaves others.
+const MIN_HOLDERS: usize = 3;
+
+/// Fraction of a zone's processor time that its holders have together.
+const HOLDER_FRACTION: f64 = 0.2;
+
+/// Processor time that is assumed for a gateway that doesn't state any, as a fraction of a core.
+const ASSUMED_CORES: f64 = 0.1;
+
+/// Time for which a holder is skipped after a failure; each further failure doubles it.
+const FIRST_SKIP: Duration = Duration::from_secs(1);
+
+/// Longest such time, which bounds how late the return of a holder is noticed.
+const MAX_SKIP: Duration = Duration::from_secs(16);
+
+/// A failed holder.
+#[derive(Debug)]
+struct Failed {
+    until: Instant,
+    skip: Duration,
+}
+
+/// Services that the same gateway sends to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Assignment {
+    /// The holder, or `None` for this gateway itself.
+    pub holder: Option<Peer>,
+    /// Indices of the services.
+    pub services: Vec<usize>,
+}
+
+/// The holders of one zone, as seen by one of its gateways.
+#[derive(Debug, Default)]
+pub struct Holders {
+    holders: Vec<Peer>,
+    failed: HashMap<NodeId, Failed>,
+}
+
+impl Holders {
+    /// Chooses the holders among all gateways of the zone; a small zone has none.
+    pub fn set<'a>(&mut self, zone: impl Iterator<Item = &'a Peer>) {
+        let mut peers: Vec<&Peer> = zone.collect();
+        self.holders.clear();
+        if peers.len() < MIN_ZONE_SIZE {
+            return;
+        }
+        peers.sort_by(|one, other| {
+            let by_cores = cores_of(other).total_cmp(&cores_of(one));
+            by_cores.then_with(|| one.node.cmp(&other.node))
+        });
+        let total: f64 = peers.iter().map(|peer| cores_of(peer)).sum();
+        let mut chosen = 0.0;
+        for peer in peers {
+            if self.holders.len() >= MIN_HOLDERS && chosen >= total * HOLDER_FRACTION {
+                break;
+            }
+            chosen += cores_of(peer);
+            self.holders.push(peer.clone());
+        }
+        let holders = &self.holders;
+        self.failed
+            .retain(|node, _| holders.iter().any(|holder| holder.node == *node));
+    }
+
+    /// Returns the number of holders.
+    pub fn len(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Returns whether the zone has no holders, so that each gateway sends its own attempts.
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty()
+    }
+
+    /// Returns whether a gateway is a holder.
+    pub fn contains(&self, node: &NodeId) -> bool {
+        self.holders.iter().any(|holder| holder.node == *node)
+    }
+
+    /// Divides services among the holders that did not fail lately; without any, `node` sends to all of them itself.
+    pub fn assign(&self, services: &[ServiceName], node: &NodeId, now: Instant) -> Vec<Assignment> {
+        let is_usable = |holder: &&Peer| {
+            holder.node == *node
+                || self
+                    .failed
+                    .get(&holder.node)
+                    .is_none_or(|failed| now >= failed.until)
+        };
+        let usable: Vec<&Peer> = self.holders.iter().filter(is_usable).collect();
+        let mut assignments: Vec<Assignment> = Vec::new();
+        for (index, service) in services.iter().enumerate() {
+            let key = hash_key(service);
+            let best = usable
+                .iter()
+                .max_by(|one, other| score(one, key).total_cmp(&score(other, key)));
+            let holder = best.copied().filter(|holder| holder.node != *node);
+            let is_same = |assignment: &&mut Assignment| {
+                assignment.holder.as_ref().map(|holder| &holder.node)
+                    == holder.map(|holder| &holder.node)
+            };
+            match assignments.iter_mut().find(is_same) {
+                Some(assignment) => assignment.services.push(index),
+                None => assignments.push(Assignment {
+                    holder: holder.cloned(),
+                    services: vec![index],
+                }),
+            }
+        }
+        assignments
+    }
+
+    /// Skips a holder for a time that doubles with each failure in a row.
+    pub fn record_failure(&mut self, node: &NodeId, now: Instant) {
+        let skip = match self.failed.get(node) {
+            // Requests that were sent before the first failure fail later.
+            Some(failed) if now < failed.until => return,
+            Some(failed) => (failed.skip * 2).min(MAX_SKIP),
+            None => FIRST_SKIP,
+        };
+        let until = now + skip;
+        self.failed.insert(node.clone(), Failed { until, skip });
+    }
+
+    /// Records that a holder has answered.
+    pub fn record_success(&mut self, node: &NodeId) {
+        self.failed.remove(node);
+    }
+}
+
+fn cores_of(peer: &Peer) -> f64 {
+    if peer.cores > 0.0 {
+        peer.cores
+    } else {
+        ASSUMED_CORES
+    }
+}
+
+/// Returns the score of a holder for a hashed key in weighted rendezvous hashing; each holder has the highest one for a
+/// part of the keys that is proportional to its processor time.
+fn score(holder: &Peer, key: u64) -> f64 {
+    let hash = hash_candidate(key, &holder.node);
+    // The upper 53 bits, which a float holds exactly, as a number between 0 and 1 without its ends.
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -cores_of(holder) / uniform.ln()
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,9 +8,12 @@
 use std::time::Instant;
 
 use base::AttemptId;
+use base::RegionName;
 use limit::LatencyHistogram;
 use limit::Limits;
 use limit::MemoryBudget;
+use limit::RepeatPool;
+use limit::RepeatRule;
 use limit::Tuning;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -18,6 +21,7 @@
 
 use crate::Directory;
 use crate::HeaderNames;
+use crate::Holders;
 use crate::LogLimiter;
 use crate::Peer;
 use crate::Peers;
@@ -26,6 +30,8 @@
 use crate::RouteName;
 use crate::RouteTable;
 use crate::Settings;
+use crate::ShardSenders;
+use crate::holder_client::HolderPool;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::packed::PackedBodies;
@@ -44,6 +50,13 @@
 /// File descriptors reserved for the store, other gateways and listening sockets.
 const RESERVED_FDS: u32 = 200;
 
+/// Fraction of the limit on repeats that the holders of a shard spend; the rest is for the gateways that send in the place
+/// of a lost one.
+const HOLDER_REPEATS: f64 = 0.6;
+
+/// Holders of one shard in a zone that share the limit: the first one, and the one that replaces it.
+const SENDERS_PER_ZONE: u32 = 2;
+
 /// Divisor of the process's memory that gives the budget for requests in progress; the rest is for code, tables,
 /// connections and answers that callers are slow to read.
 const MEMORY_DIVISOR: u64 = 2;
@@ -69,6 +82,9 @@
     pub(crate) metrics: Metrics,
     pub(crate) log_limiter: LogLimiter,
     pub(crate) peers: Peers,
+    /// Holders of this gateway's zone.
+    pub(crate) holders: Holders,
+    pub(crate) holder_pool: HolderPool,
     pub(crate) change_logs: ChangeLogs,
     /// Compressed replies to the gateways that follow this one.
     pub(crate) packed_bodies: PackedBodies,
@@ -105,7 +121,7 @@
                 ..Tuning::default()
             },
         );
-        limits.set_repeat_rule(settings.repeats);
+        limits.set_repeat_rule(RepeatPool::Shared, settings.repeats);
         let state = State {
             directory: Directory::new(),
             memory: MemoryBudget::new(settings.memory_bytes / MEMORY_DIVISOR),
@@ -121,6 +137,8 @@
             metrics: Metrics::default(),
             log_limiter: LogLimiter::default(),
             peers: Peers::default(),
+            holders: Holders::default(),
+            holder_pool: HolderPool::default(),
             change_logs: ChangeLogs::default(),
             packed_bodies: PackedBodies::default(),
         };
@@ -190,6 +208,7 @@
         self.limits
             .retain_services(|service| table.services.contains_key(service));
         self.table = Some(Rc::new(table));
+        self.update_connection_shares();
     }
 
     pub(crate) fn record_latency(&mut self, route: &Route, latency: Duration) {
@@ -232,6 +251,7 @@
     /// Sets the gateways that share the servers and the limit on repeats with this one.
     pub(crate) fn set_peers(&mut self, peers: Vec<Peer>) {
         self.peers.set(peers);
+        self.holders.set(self.peers.in_zone(&self.settings.zone));
         self.update_repeat_share();
         let regions = &self.settings.regions;
         let nodes = regions
@@ -241,7 +261,31 @@
                 (zone.clone(), u32::try_from(sharing).unwrap_or(u32::MAX))
             })
             .collect();
-        self.directory.set_nodes(nodes);
+        let senders = self.count_shard_senders();
+        self.directory.set_nodes(nodes, senders);
+        self.update_connection_shares();
+    }
+
+    /// Returns how many gateways send to each shard, if this gateway is a holder.
+    fn count_shard_senders(&self) -> Option<ShardSenders> {
+        let settings = &self.settings;
+        if !self.holders.contains(&settings.node) {
+            return None;
+        }
+        let is_near = |region: &&RegionName| **region == settings.region;
+        let near = settings.regions.values().filter(is_near).count();
+        let far = settings.regions.len() - near;
+        let count = |zones: usize| u32::try_from(zones).unwrap_or(u32::MAX);
+        Some(ShardSenders {
+            region: count(near).saturating_mul(SENDERS_PER_ZONE),
+            elsewhere: count(far).saturating_mul(SENDERS_PER_ZONE),
+        })
+    }
+
+    fn update_connection_shares(&mut self) {
+        let table = self.table.as_deref();
+        self.directory
+            .update_shares(&self.settings, table, &mut self.limits);
     }
 
     /// Divides the limit on repeats by the number of known gateways, or by the number in the settings if none is known.
@@ -250,6 +294,23 @@
         if !self.peers.is_empty() {
             rule.nodes = u32::try_from(self.peers.count(|_| true)).unwrap_or(u32::MAX);
         }
-        self.limits.set_repeat_rule(rule);
+        self.limits.set_repeat_rule(RepeatPool::Shared, rule);
+        let zones = u32::try_from(self.settings.regions.len()).unwrap_or(u32::MAX);
+        let senders = zones.saturating_mul(SENDERS_PER_ZONE);
+        self.limits
+            .set_repeat_rule(RepeatPool::Holder, rule.split(HOLDER_REPEATS, senders));
+        let fallback: RepeatRule = rule.split(1.0 - HOLDER_REPEATS, rule.nodes);
+        self.limits.set_repeat_rule(RepeatPool::Fallback, fallback);
+    }
+
+    /// Returns the budget for the repeats of shards to which this gateway sends itself.
+    pub(crate) fn repeat_pool(&self) -> RepeatPool {
+        if !self.peers.has_large_zone() {
+            RepeatPool::Shared
+        } else if self.holders.contains(&self.settings.node) {
+            RepeatPool::Holder
+        } else {
+            RepeatPool::Fallback
+        }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 
 use crate::ObjectKind;
 use crate::StoreVersion;
+use crate::holders::MIN_ZONE_SIZE;
 
 /// Size of the changes that a relay keeps for peers that lag behind; a peer that lags further needs a full list.
 const MAX_LOG_BYTES: usize = 512 << 10;
@@ -45,6 +46,15 @@
     pub zone: ZoneName,
     /// Address on which it serves other gateways.
     pub addr: SocketAddr,
+    /// Its processor time as a fraction of a core, or zero if it doesn't say.
+    pub cores: f64,
+}
+
+impl Peer {
+    /// Returns whether an entry was written by the same gateway at the same place.
+    pub(crate) fn is_same(&self, other: &Peer) -> bool {
+        self.node == other.node && self.zone == other.zone && self.addr == other.addr
+    }
 }
 
 /// The registered gateways, and which of them are skipped as relays.
@@ -52,6 +62,7 @@
 pub struct Peers {
     /// Gateways in the order of their names.
     known: Vec<Peer>,
+    has_large_zone: bool,
     /// End of the time for which a gateway is skipped as a relay.
     skipped: HashMap<NodeId, Instant>,
 }
@@ -60,6 +71,11 @@
     /// Replaces the known gateways by a complete list.
     pub fn set(&mut self, mut known: Vec<Peer>) {
         known.sort_by(|one, other| one.node.cmp(&other.node));
+        let mut sizes: HashMap<&ZoneName, usize> = HashMap::new();
+        for peer in &known {
+            *sizes.entry(&peer.zone).or_default() += 1;
+        }
+        self.has_large_zone = sizes.values().any(|size| *size >= MIN_ZONE_SIZE);
         self.known = known;
     }
 
@@ -75,7 +91,7 @@
     pub fn encode(&self) -> String {
         self.known
             .iter()
-            .map(|peer| format!("{} {} {}\n", peer.node, peer.zone, peer.addr))
+            .map(|peer| format!("{} {} {} {}\n", peer.node, peer.zone, peer.addr, peer.cores))
             .collect()
     }
 
@@ -87,11 +103,26 @@
                 node: fields.next()?.into(),
                 zone: fields.next()?.into(),
                 addr: fields.next()?.parse().ok()?,
+                // Older gateways don't write this field.
+                cores: fields
+                    .next()
+                    .and_then(|cores| cores.parse().ok())
+                    .unwrap_or(0.0),
             })
         };
         text.lines().filter_map(decode_line).collect()
     }
 
+    /// Returns the gateways of a zone, in the order of their names.
+    pub(crate) fn in_zone(&self, zone: &ZoneName) -> impl Iterator<Item = &Peer> {
+        self.known.iter().filter(move |peer| peer.zone == *zone)
+    }
+
+    /// Returns whether some zone is large enough for holders.
+    pub(crate) fn has_large_zone(&self) -> bool {
+        self.has_large_zone
+    }
+
     /// Returns whether no gateway is known.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use http::header::ACCEPT_ENCODING;
 use http::header::CONTENT_ENCODING;
 use http_body_util::BodyExt;
+use http_body_util::Either;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
@@ -26,6 +27,8 @@
 use crate::Snapshot;
 use crate::StoreVersion;
 use crate::accept::serve_connections;
+use crate::delegation::HEADER;
+use crate::holder::answer_delegated;
 use crate::node::Node;
 use crate::packed::ENCODING;
 use crate::packed::MAX_BYTES;
@@ -138,7 +141,12 @@
 pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
     serve_connections(listener, move |request| {
         let node = Rc::clone(&node);
-        async move { answer_peer(&node, &request).await }
+        async move {
+            if request.headers().contains_key(HEADER) {
+                return answer_delegated(&node, request).await;
+            }
+            answer_peer(&node, &request).await.map(Either::Left)
+        }
     })
     .await;
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use limit::Permit;
+use limit::RepeatPool;
 use query::AttemptKind;
 use query::Failure;
 use query::Gather;
@@ -41,6 +42,11 @@
 use crate::attempt::OutgoingRequest;
 use crate::attempt::Reply;
 use crate::attempt::send_attempt;
+use crate::body::Reserved;
+use crate::delegation::Delegation;
+use crate::delegation::hash_services;
+use crate::holder_client::delegate;
+use crate::holders::Assignment;
 use crate::merge::merge_records;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -52,7 +58,20 @@
 /// Most unanswered services that a log line names.
 const MAX_LOGGED_SERVICES: usize = 4;
 
-type AttemptResult = (AttemptId, Result<Reply, AttemptError>);
+/// What happened to a request since its attempts were sent.
+pub(crate) enum Progress {
+    /// An attempt of this gateway ended.
+    Ended(AttemptId, Result<Reply, AttemptError>),
+    /// A holder passed on the reply of a server of this service.
+    Delivered { service: usize, reply: Reply },
+    /// A holder gave up this service after a number of attempts that may have run.
+    GivenUp { service: usize, runs: u32 },
+    /// A holder failed; these services are still open.
+    HolderLost {
+        services: Vec<usize>,
+        may_have_run: bool,
+    },
+}
 
 /// Handles one request; dropping the future closes the connections of its attempts in progress.
 pub(crate) async fn handle_request(node: Rc<Node>, request: Request<Incoming>) -> Answer {
@@ -84,11 +103,11 @@
 }
 
 /// Drives the [`Gather`] state machine of one request.
-struct RequestRun<'a> {
+pub(crate) struct RequestRun<'a> {
     node: &'a Rc<Node>,
     route: Rc<Route>,
     outgoing: Rc<OutgoingRequest>,
-    results: mpsc::UnboundedSender<AttemptResult>,
+    results: mpsc::UnboundedSender<Progress>,
     tasks: JoinSet<()>,
     replies: HashMap<AttemptId, Reply>,
     /// Latest error reply of a server, forwarded if no attempt succeeds.
@@ -98,32 +117,16 @@
     /// Why the latest attempt failed.
     reason: &'static str,
     revision: Revision,
+    _memory: Reserved,
 }
 
 async fn run(node: &Rc<Node>, admitted: AdmittedRequest) -> Answer {
     let started = Instant::now();
-    let AdmittedRequest {
-        revision,
-        route,
-        outgoing,
-        objective,
-        memory: _memory,
-    } = admitted;
     let mut guard = AbandonGuard { node, ended: false };
-    let (results, mut received) = mpsc::unbounded_channel();
-    let mut gather = Gather::new(build_plan(node, &route, &outgoing, objective));
-    let mut run = RequestRun {
-        node,
-        route,
-        outgoing: Rc::new(outgoing),
-        results,
-        tasks: JoinSet::new(),
-        replies: HashMap::new(),
-        failure: None,
-        sent: HashMap::new(),
-        reason: "none",
-        revision,
-    };
+    let assignments = assign_services(node, &admitted.route);
+    let mut gather = Gather::new(build_plan(node, &admitted, &assignments));
+    let (mut run, mut received) = RequestRun::new(node, admitted);
+    run.delegate(assignments);
     let mut event = GatherEvent::Start;
     let outcome = loop {
         if let Some(outcome) = run.apply_event(&mut gather, event) {
@@ -132,8 +135,8 @@
         let wake = gather.next_wake().unwrap_or(gather.plan().deadline);
         event = tokio::select! {
             biased;
-            result = received.recv() => match result {
-                Some(result) => run.record_result(result),
+            progress = received.recv() => match progress {
+                Some(progress) => run.record_progress(progress),
                 None => GatherEvent::Wake,
             },
             () = tokio::time::sleep_until(wake.into()) => GatherEvent::Wake,
@@ -144,13 +147,21 @@
     run.respond(outcome)
 }
 
-fn build_plan(
-    node: &Node,
-    route: &Route,
-    outgoing: &OutgoingRequest,
-    objective: Instant,
-) -> GatherPlan {
+/// Divides the services of a query among the holders of the zone and this gateway; without holders, all are sent from
+/// here.
+fn assign_services(node: &Node, route: &Route) -> Vec<Assignment> {
+    let state = node.state.borrow();
+    match &route.target {
+        Target::Shards { services, .. } if route.repeatable && !state.holders.is_empty() => state
+            .holders
+            .assign(services, &state.settings.node, Instant::now()),
+        Target::Shards { .. } | Target::Services(_) => Vec::new(),
+    }
+}
+
+fn build_plan(node: &Node, admitted: &AdmittedRequest, assignments: &[Assignment]) -> GatherPlan {
     let mut state = node.state.borrow_mut();
+    let route = &admitted.route;
     let (services, required): (Rc<[ServiceName]>, usize) = match &route.target {
         Target::Services(services) => {
             let fraction = state.rng.random::<f64>();
@@ -169,9 +180,18 @@
         services,
         required,
         repeatable: route.repeatable,
+        delegated: assignments
+            .iter()
+            .filter(|assignment| assignment.holder.is_some())
+            .flat_map(|assignment| assignment.services.iter().copied())
+            .collect(),
+        pool: match &route.target {
+            Target::Shards { .. } => state.repeat_pool(),
+            Target::Services(_) => RepeatPool::Shared,
+        },
         max_runs: route.max_runs,
-        objective,
-        deadline: outgoing.deadline,
+        objective: admitted.objective,
+        deadline: admitted.outgoing.deadline,
         typical_latency: state.typical_latency(route),
         hedge_delay: state.hedge_delay(route),
     }
@@ -198,9 +218,62 @@
         .unwrap_or_default()
 }
 
-impl RequestRun<'_> {
+impl<'a> RequestRun<'a> {
+    /// Creates the state of a request that was admitted, and the receiver of its progress.
+    pub(crate) fn new(
+        node: &'a Rc<Node>,
+        admitted: AdmittedRequest,
+    ) -> (RequestRun<'a>, mpsc::UnboundedReceiver<Progress>) {
+        let (results, received) = mpsc::unbounded_channel();
+        let run = RequestRun {
+            node,
+            route: admitted.route,
+            outgoing: Rc::new(admitted.outgoing),
+            results,
+            tasks: JoinSet::new(),
+            replies: HashMap::new(),
+            failure: None,
+            sent: HashMap::new(),
+            reason: "none",
+            revision: admitted.revision,
+            _memory: admitted.memory,
+        };
+        (run, received)
+    }
+
+    /// Asks the holders for the parts of the services that are assigned to them.
+    fn delegate(&mut self, assignments: Vec<Assignment>) {
+        let Target::Shards { services, .. } = &self.route.target else {
+            return;
+        };
+        let fingerprint = hash_services(services);
+        for assignment in assignments {
+            let Some(holder) = assignment.holder else {
+                continue;
+            };
+            let delegation = Delegation {
+                fingerprint,
+                services: assignment.services,
+            };
+            let mut state = self.node.state.borrow_mut();
+            state.metrics.count(Counter::DelegationSent);
+            drop(state);
+            self.tasks.spawn_local(delegate(
+                Rc::clone(self.node),
+                Rc::clone(&self.outgoing),
+                holder,
+                delegation,
+                self.results.clone(),
+            ));
+        }
+    }
+
     /// Passes an event to the state machine and performs the actions that it returns.
-    fn apply_event(&mut self, gather: &mut Gather, event: GatherEvent) -> Option<GatherOutcome> {
+    pub(crate) fn apply_event(
+        &mut self,
+        gather: &mut Gather,
+        event: GatherEvent,
+    ) -> Option<GatherOutcome> {
         let now = Instant::now();
         let actions = {
             let mut guard = self.node.state.borrow_mut();
@@ -247,7 +320,7 @@
         self.tasks.spawn_local(async move {
             let result = send_attempt(node, outgoing, permit).await;
             // The receiver is gone if the request has ended meanwhile.
-            let _ = results.send((id, result));
+            let _ = results.send(Progress::Ended(id, result));
         });
     }
 
@@ -259,8 +332,41 @@
         }
     }
 
-    /// Stores the result of an attempt; returns the event that reports it to the state machine.
-    fn record_result(&mut self, (id, result): AttemptResult) -> GatherEvent {
+    /// Stores what a task reports; returns the event that tells the state machine.
+    pub(crate) fn record_progress(&mut self, progress: Progress) -> GatherEvent {
+        match progress {
+            Progress::Ended(id, result) => self.record_result(id, result),
+            Progress::Delivered { service, reply } => {
+                let mut state = self.node.state.borrow_mut();
+                state.next_attempt += 1;
+                let id = state.next_attempt;
+                drop(state);
+                self.replies.insert(id, reply);
+                GatherEvent::Delivered(service, id)
+            }
+            Progress::GivenUp { service, runs } => {
+                self.reason = "a holder got no part";
+                GatherEvent::GivenUp(service, runs)
+            }
+            Progress::HolderLost {
+                services,
+                may_have_run,
+            } => {
+                self.reason = "a holder was lost";
+                GatherEvent::HolderLost {
+                    services,
+                    may_have_run,
+                }
+            }
+        }
+    }
+
+    /// Removes and returns the reply of an attempt.
+    pub(crate) fn take_reply(&mut self, id: AttemptId) -> Option<Reply> {
+        self.replies.remove(&id)
+    }
+
+    fn record_result(&mut self, id: AttemptId, result: Result<Reply, AttemptError>) -> GatherEvent {
         match result {
             Ok(reply) if self.is_usable(&reply) => {
                 if let Some(sent) = self.sent.get(&id) {
@@ -322,7 +428,6 @@
         log::info!(id, route, revision, ms, sent, missing, open, reason, skipped; "request: {kind}");
     }
 
-    /// Builds the answer, and lets the attempts still in progress run for [`CANCEL_GRACE`].
     fn respond(mut self, outcome: GatherOutcome) -> Answer {
         let answer = match outcome {
             GatherOutcome::Answered { parts, missing } => self.build_answer(&parts, missing),
@@ -334,17 +439,23 @@
                 self.forward_failure(StatusCode::GATEWAY_TIMEOUT, "no answer came in time")
             }
         };
-        if !self.tasks.is_empty() {
-            let mut tasks = std::mem::take(&mut self.tasks);
-            tokio::task::spawn_local(async move {
-                let all = async { while tasks.join_next().await.is_some() {} };
-                // Dropping the remaining tasks closes their connections.
-                let _ = tokio::time::timeout(CANCEL_GRACE, all).await;
-            });
-        }
+        self.finish();
         answer
     }
 
+    /// Lets the attempts still in progress run for [`CANCEL_GRACE`].
+    pub(crate) fn finish(mut self) {
+        if self.tasks.is_empty() {
+            return;
+        }
+        let mut tasks = std::mem::take(&mut self.tasks);
+        tokio::task::spawn_local(async move {
+            let all = async { while tasks.join_next().await.is_some() {} };
+            // Dropping the remaining tasks closes their connections.
+            let _ = tokio::time::timeout(CANCEL_GRACE, all).await;
+        });
+    }
+
     fn build_answer(&mut self, parts: &[AttemptId], missing: usize) -> Answer {
         let replies: Vec<Reply> = parts
             .iter()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -41,6 +41,8 @@
     pub apply_time: Duration,
     /// Bytes of memory at which the process is killed.
     pub memory_bytes: u64,
+    /// Processor time of the VM, as a fraction of a core.
+    pub cores: f64,
     /// File descriptors that sockets may use.
     pub max_fds: u32,
     /// Limit on repeated attempts over all VMs.
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,6 +1,7 @@
 //! The route table: routes and services of one configuration.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -90,6 +91,8 @@
     /// Limits on the requests of callers.
     pub request_limits: RequestLimits,
     hosts: HashMap<CompactString, Vec<Rc<Route>>>,
+    /// Services that are shards of some route.
+    shards: HashSet<ServiceName>,
 }
 
 impl RouteTable {
@@ -101,7 +104,11 @@
         request_limits: RequestLimits,
     ) -> RouteTable {
         let mut hosts: HashMap<CompactString, Vec<Rc<Route>>> = HashMap::new();
+        let mut shards = HashSet::new();
         for route in routes {
+            if let Target::Shards { services, .. } = &route.target {
+                shards.extend(services.iter().cloned());
+            }
             hosts
                 .entry(route.host.clone())
                 .or_default()
@@ -115,9 +122,15 @@
             services,
             request_limits,
             hosts,
+            shards,
         }
     }
 
+    /// Returns whether a service is a shard of some route.
+    pub fn is_shard(&self, service: &ServiceName) -> bool {
+        self.shards.contains(service)
+    }
+
     /// Finds the route of a host with the longest prefix that matches a path.
     ///
     /// The port of the host is ignored, and its case doesn't matter.
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -6,9 +6,15 @@
 
 use gateway::ASSUMED_NODES;
 use gateway::Directory;
+use gateway::RequestLimits;
+use gateway::Route;
+use gateway::RouteTable;
 use gateway::Server;
 use gateway::ServerChange;
+use gateway::Service;
 use gateway::Settings;
+use gateway::ShardSenders;
+use gateway::Target;
 use limit::Limits;
 use limit::RepeatRule;
 use limit::Tuning;
@@ -37,6 +43,7 @@
             grace: Duration::from_secs(6),
             apply_time: Duration::from_secs(3),
             memory_bytes: 100_000_000,
+            cores: 0.2,
             max_fds: 2_000,
             repeats: RepeatRule {
                 ratio: 0.2,
@@ -193,3 +200,65 @@
     ));
     assert!(rig.directory.is_empty());
 }
+
+/// Returns a configuration with the services `shard`, a shard of a query, and `single`, each with servers that accept
+/// 195 connections.
+fn create_table() -> RouteTable {
+    let route = Route {
+        name: "q".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        target: Target::Shards {
+            services: ["shard".into()].into(),
+            min_share: 1.0,
+            top_k: 3,
+        },
+        repeatable: true,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        max_runs: 2,
+        rank: 0,
+    };
+    let service = Service { connections: 195 };
+    let services = HashMap::from([("shard".into(), service), ("single".into(), service)]);
+    let limits = RequestLimits {
+        max_head_bytes: 16_384,
+        max_body_bytes: 1_000,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    RouteTable::new(1, vec![route], services, limits)
+}
+
+/// Guards against holders that have too few connections to the servers of shards, or all gateways together more than the
+/// servers accept; and against shares that stay as they were before the gateways or the configuration were known.
+#[test]
+fn holders_divide_the_connections_of_shards() {
+    const GATEWAYS: u32 = 98;
+    const SENDERS: ShardSenders = ShardSenders {
+        region: 4,
+        elsewhere: 8,
+    };
+    let table = create_table();
+    let mut rig = Rig::new();
+    let mut shares = |service: &str, zone: &str, senders| {
+        let mut server = server(1);
+        server.id = format!("{service}-{zone}").into();
+        server.service = service.into();
+        server.zone = zone.into();
+        let id = server.id.clone();
+        rig.update(server);
+        rig.directory
+            .set_nodes(HashMap::from([("z".into(), GATEWAYS)]), senders);
+        rig.directory
+            .update_shares(&rig.settings, Some(&table), &mut rig.limits);
+        let key = rig.limits.key(&id).unwrap();
+        rig.limits.gate(key).unwrap().share().unwrap()
+    };
+    assert_eq!(shares("shard", "z", None), 2);
+    let near = shares("shard", "z", Some(SENDERS));
+    let far = shares("shard", "elsewhere", Some(SENDERS));
+    assert_eq!((near, far), (34, 7));
+    assert!(near * SENDERS.region + far * SENDERS.elsewhere <= 195);
+    assert_eq!(shares("single", "z", Some(SENDERS)), 2);
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -18,6 +18,7 @@
         node: node.into(),
         zone: zone.into(),
         addr: "127.0.0.1:7740".parse().unwrap(),
+        cores: 0.25,
     }
 }
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -74,5 +74,6 @@
 pub use crate::limits::Permit;
 pub use crate::limits::connection_share;
 pub use crate::memory::MemoryBudget;
+pub use crate::repeat::RepeatPool;
 pub use crate::repeat::RepeatRule;
 pub use crate::tuning::Tuning;
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -27,7 +27,8 @@
 use crate::Tuning;
 use crate::budget::HedgeReserve;
 use crate::fastest::RoundTrips;
-use crate::repeat::RepeatBudget;
+use crate::repeat::RepeatBudgets;
+use crate::repeat::RepeatPool;
 use crate::repeat::RepeatRule;
 
 /// Percentage of a server's connections that is not divided into shares.
@@ -76,9 +77,10 @@
     keys: HashMap<UpstreamId, GateKey>,
     budgets: BTreeMap<ServiceName, ServiceBudget>,
     hedge_reserve: HedgeReserve,
-    repeat_rule: Option<RepeatRule>,
+    repeats: RepeatBudgets,
+    holder_repeats: RepeatBudgets,
+    fallback_repeats: RepeatBudgets,
     pub(crate) round_trips: RoundTrips,
-    repeats: BTreeMap<ServiceName, RepeatBudget>,
     freed_gates: VecDeque<GateKey>,
 }
 
@@ -93,9 +95,10 @@
             keys: HashMap::new(),
             budgets: BTreeMap::new(),
             hedge_reserve: HedgeReserve::default(),
-            repeat_rule: None,
+            repeats: RepeatBudgets::default(),
+            holder_repeats: RepeatBudgets::default(),
+            fallback_repeats: RepeatBudgets::default(),
             round_trips: RoundTrips::default(),
-            repeats: BTreeMap::new(),
             freed_gates: VecDeque::new(),
         }
     }
@@ -128,6 +131,13 @@
         }
     }
 
+    /// Changes how many connections to a registered upstream this node may use.
+    pub fn set_share(&mut self, key: GateKey, share: u32) {
+        if let Some(gate) = self.gates.get_mut(key) {
+            gate.set_share(Some(share));
+        }
+    }
+
     /// Starts the cold-start ramp of an upstream that joined after this node did.
     pub fn start_ramp(&mut self, key: GateKey, now: Instant) {
         if let Some(gate) = self.gates.get_mut(key) {
@@ -337,43 +347,43 @@
         !self.tuning.budget || self.budget_mut(service).spend_retry()
     }
 
-    /// Sets the limit on repeats of every service; until it is set, repeats are not limited.
-    pub fn set_repeat_rule(&mut self, rule: RepeatRule) {
-        self.repeat_rule = Some(rule);
+    /// Sets the limit on repeats of every service from one pool; until it is set, they are not limited.
+    pub fn set_repeat_rule(&mut self, pool: RepeatPool, rule: RepeatRule) {
+        self.repeats_mut(pool).set_rule(rule);
     }
 
     /// Adds the repeat tokens that one request of a caller earns to a service.
-    pub fn earn_repeat(&mut self, service: &ServiceName) {
-        let Some(rule) = self.repeat_rule else {
-            return;
-        };
-        match self.repeats.get_mut(service) {
-            Some(budget) => budget.earn(&rule),
-            None => {
-                self.repeats
-                    .insert(service.clone(), RepeatBudget::full(&rule));
-            }
-        }
+    pub fn earn_repeat(&mut self, pool: RepeatPool, service: &ServiceName) {
+        self.repeats_mut(pool).earn(service);
     }
 
     /// Spends the token for one repeat of a service; returns false when that would use up the `reserve`.
     ///
     /// `reserve` is the fraction of the capacity that must be left afterwards.
-    pub fn spend_repeat(&mut self, service: &ServiceName, reserve: f64, rng: &mut dyn Rng) -> bool {
-        let Some(rule) = self.repeat_rule else {
-            return true;
-        };
-        let budget = self
-            .repeats
-            .entry(service.clone())
-            .or_insert_with(|| RepeatBudget::full(&rule));
-        budget.spend(reserve, &rule, rng)
+    pub fn spend_repeat(
+        &mut self,
+        pool: RepeatPool,
+        service: &ServiceName,
+        reserve: f64,
+        rng: &mut dyn Rng,
+    ) -> bool {
+        self.repeats_mut(pool).spend(service, reserve, rng)
     }
 
     /// Removes the budgets of services that are no longer declared.
     pub fn retain_services(&mut self, mut keep: impl FnMut(&ServiceName) -> bool) {
         self.budgets.retain(|service, _| keep(service));
-        self.repeats.retain(|service, _| keep(service));
+        for pool in [RepeatPool::Shared, RepeatPool::Holder, RepeatPool::Fallback] {
+            self.repeats_mut(pool).retain(&mut keep);
+        }
+    }
+
+    fn repeats_mut(&mut self, pool: RepeatPool) -> &mut RepeatBudgets {
+        match pool {
+            RepeatPool::Shared => &mut self.repeats,
+            RepeatPool::Holder => &mut self.holder_repeats,
+            RepeatPool::Fallback => &mut self.fallback_repeats,
+        }
     }
 
     fn budget_mut(&mut self, service: &ServiceName) -> &mut ServiceBudget {
--- a/crates/limit/src/repeat.rs
+++ b/crates/limit/src/repeat.rs
@@ -1,5 +1,8 @@
 //! The fleet-wide limit on repeated attempts, of which each node enforces its own share.
 
+use std::collections::BTreeMap;
+
+use base::ServiceName;
 use rand::Rng;
 use rand::RngExt;
 
@@ -20,7 +23,28 @@
     pub nodes: u32,
 }
 
+/// Budgets that a repeat can be taken from; each has a rule of its own, since different nodes share them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatPool {
+    /// For services to which every node sends its own attempts.
+    Shared,
+    /// For services to which this node sends as a holder, also on behalf of other nodes.
+    Holder,
+    /// For services whose holder failed, so that this node sends in its place.
+    Fallback,
+}
+
 impl RepeatRule {
+    /// Returns the rule for a fraction of the limit that `nodes` nodes share.
+    #[must_use]
+    pub fn split(&self, fraction: f64, nodes: u32) -> RepeatRule {
+        RepeatRule {
+            ratio: self.ratio * fraction,
+            slack: self.slack * fraction,
+            nodes,
+        }
+    }
+
     fn tokens_per_request(&self) -> f64 {
         self.ratio * SPENT_RATIO
     }
@@ -45,18 +69,18 @@
 /// Each request earns a fraction of a token, whether it succeeds or not, because the limit is relative to the requests
 /// that callers sent. The sum over all nodes stays within the limit without any coordination between them.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct RepeatBudget {
+struct RepeatBudget {
     tokens: f64,
 }
 
 impl RepeatBudget {
-    pub(crate) fn full(rule: &RepeatRule) -> RepeatBudget {
+    fn full(rule: &RepeatRule) -> RepeatBudget {
         RepeatBudget {
             tokens: rule.burst(),
         }
     }
 
-    pub(crate) fn earn(&mut self, rule: &RepeatRule) {
+    fn earn(&mut self, rule: &RepeatRule) {
         self.tokens = (self.tokens + rule.tokens_per_request()).min(rule.burst());
     }
 
@@ -64,7 +88,7 @@
     ///
     /// When so many nodes share the slack that the capacity is below one token, the saved fraction of a token is the
     /// probability that a repeat is allowed.
-    pub(crate) fn spend(&mut self, reserve: f64, rule: &RepeatRule, rng: &mut dyn Rng) -> bool {
+    fn spend(&mut self, reserve: f64, rule: &RepeatRule, rng: &mut dyn Rng) -> bool {
         if rule.burst() < 1.0 {
             let probability = std::mem::take(&mut self.tokens);
             return rng.random::<f64>() < probability;
@@ -76,3 +100,45 @@
         true
     }
 }
+
+/// The budgets of all services in one [`RepeatPool`].
+#[derive(Debug, Default)]
+pub(crate) struct RepeatBudgets {
+    /// Limit on the repeats; without one they are not limited.
+    rule: Option<RepeatRule>,
+    budgets: BTreeMap<ServiceName, RepeatBudget>,
+}
+
+impl RepeatBudgets {
+    pub(crate) fn set_rule(&mut self, rule: RepeatRule) {
+        self.rule = Some(rule);
+    }
+
+    pub(crate) fn earn(&mut self, service: &ServiceName) {
+        let Some(rule) = self.rule else {
+            return;
+        };
+        match self.budgets.get_mut(service) {
+            Some(budget) => budget.earn(&rule),
+            None => {
+                self.budgets
+                    .insert(service.clone(), RepeatBudget::full(&rule));
+            }
+        }
+    }
+
+    pub(crate) fn spend(&mut self, service: &ServiceName, reserve: f64, rng: &mut dyn Rng) -> bool {
+        let Some(rule) = self.rule else {
+            return true;
+        };
+        let budget = self
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| RepeatBudget::full(&rule));
+        budget.spend(reserve, &rule, rng)
+    }
+
+    pub(crate) fn retain(&mut self, mut keep: impl FnMut(&ServiceName) -> bool) {
+        self.budgets.retain(|service, _| keep(service));
+    }
+}
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -15,6 +15,7 @@
 use limit::GateKey;
 use limit::Limits;
 use limit::Permit;
+use limit::RepeatPool;
 use rand::Rng;
 
 use crate::AttemptKind;
@@ -42,6 +43,10 @@
     pub required: usize,
     /// Whether the request may run more than once on the servers of a service.
     pub repeatable: bool,
+    /// Services, by index, to which a holder sends the attempts; all others are sent from here.
+    pub delegated: Vec<usize>,
+    /// Budget for the repeats of the services that are not delegated.
+    pub pool: RepeatPool,
     /// Maximum number of servers of one service on which the request may run.
     pub max_runs: u32,
     /// Time from which the required parts are enough for an answer, without waiting for the others.
@@ -81,6 +86,17 @@
     Replied(AttemptId),
     /// An attempt failed.
     Failed(AttemptId, Failure),
+    /// A holder passed on a valid reply to an attempt at a delegated service; the id is a new one of this node.
+    Delivered(usize, AttemptId),
+    /// A holder gave up a delegated service, after this many attempts that ran or may have run.
+    GivenUp(usize, u32),
+    /// A holder can't be relied on any more for these services.
+    HolderLost {
+        /// Indices of the services in [`GatherPlan::services`].
+        services: Vec<usize>,
+        /// Whether the holder may have sent attempts for them.
+        may_have_run: bool,
+    },
     /// The time returned by [`Gather::next_wake`] was reached.
     Wake,
 }
@@ -124,8 +140,12 @@
 /// A service without a part in the answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct UnansweredService<'a> {
+    /// Its index in [`GatherPlan::services`].
+    pub index: usize,
     /// Name of the service.
     pub service: &'a ServiceName,
+    /// Attempts that ran or may have run.
+    pub runs: u32,
     /// Attempts sent to it; zero if none of its servers was available.
     pub sent: u32,
     /// Attempts whose replies are still awaited.
@@ -151,6 +171,9 @@
     blocked_count: u32,
     hedge_at: Option<Instant>,
     retry_at: Option<Instant>,
+    /// Whether a holder sends the attempts.
+    delegated: bool,
+    pool: RepeatPool,
 }
 
 /// State machine of one request.
@@ -173,8 +196,16 @@
             blocked_count: 0,
             hedge_at: None,
             retry_at: None,
+            delegated: false,
+            pool: plan.pool,
         };
-        let services = plan.services.iter().map(new_state).collect();
+        let mut services: Vec<ServiceState> = plan.services.iter().map(new_state).collect();
+        for index in &plan.delegated {
+            if let Some(state) = services.get_mut(*index) {
+                state.delegated = true;
+                state.pool = RepeatPool::Fallback;
+            }
+        }
         Gather {
             plan,
             services,
@@ -192,15 +223,25 @@
         self.services.iter().map(|state| state.sent).sum()
     }
 
+    /// Returns the service that an attempt is for, if it has no part yet.
+    pub fn find_service(&self, id: AttemptId) -> Option<usize> {
+        self.services
+            .iter()
+            .position(|state| state.progress == Progress::Open && state.outstanding.contains(&id))
+    }
+
     /// Returns the services without a part, for the log line of an incomplete answer.
     pub fn unanswered_services(&self) -> Vec<UnansweredService<'_>> {
         self.plan
             .services
             .iter()
             .zip(&self.services)
-            .filter(|(_, state)| !matches!(state.progress, Progress::Answered(_)))
-            .map(|(service, state)| UnansweredService {
+            .enumerate()
+            .filter(|(_, (_, state))| !matches!(state.progress, Progress::Answered(_)))
+            .map(|(index, (service, state))| UnansweredService {
+                index,
                 service,
+                runs: state.runs,
                 sent: state.sent,
                 awaited: state.outstanding.len(),
             })
@@ -243,6 +284,12 @@
             GatherEvent::Failed(id, failure) => {
                 self.receive_failure(id, &failure, now, env, &mut actions)
             }
+            GatherEvent::Delivered(index, id) => self.receive_delivery(index, id),
+            GatherEvent::GivenUp(index, runs) => self.give_up(index, runs),
+            GatherEvent::HolderLost {
+                services,
+                may_have_run,
+            } => self.replace_holder(&services, may_have_run, now, env, &mut actions),
             GatherEvent::Wake => self.run_timers(now, env, &mut actions),
         }
         if let Some(outcome) = self.decide_outcome(now) {
@@ -254,12 +301,15 @@
 
     /// Sends the first attempts, or none if too few services have an available server.
     fn start(&mut self, now: Instant, env: &mut GatherEnv<'_>, actions: &mut Vec<GatherAction>) {
-        let is_available = |service: &&ServiceName| {
-            env.replicas
-                .get(*service)
-                .is_some_and(|keys| keys.iter().any(|&key| is_usable(env.limits, key, now)))
+        let is_available = |(service, state): &(&ServiceName, &ServiceState)| {
+            state.delegated
+                || env
+                    .replicas
+                    .get(*service)
+                    .is_some_and(|keys| keys.iter().any(|&key| is_usable(env.limits, key, now)))
         };
-        let available = self.plan.services.iter().filter(is_available).count();
+        let services = self.plan.services.iter().zip(&self.services);
+        let available = services.filter(is_available).count();
         if available < self.plan.required {
             for state in &mut self.services {
                 state.progress = Progress::Missing;
@@ -267,7 +317,14 @@
             return;
         }
         for index in 0..self.services.len() {
-            env.limits.earn_repeat(&self.plan.services[index]);
+            let state = &mut self.services[index];
+            env.limits
+                .earn_repeat(state.pool, &self.plan.services[index]);
+            if state.delegated {
+                // The holder may send an attempt from now on.
+                state.runs = 1;
+                continue;
+            }
             self.send(index, AttemptKind::Primary, now, env, actions);
         }
     }
@@ -283,6 +340,55 @@
         }
     }
 
+    fn receive_delivery(&mut self, index: usize, id: AttemptId) {
+        if let Some(state) = self.services.get_mut(index)
+            && state.delegated
+            && state.progress == Progress::Open
+        {
+            state.progress = Progress::Answered(id);
+        }
+    }
+
+    fn give_up(&mut self, index: usize, runs: u32) {
+        if let Some(state) = self.services.get_mut(index)
+            && state.delegated
+            && state.progress == Progress::Open
+        {
+            state.runs = runs;
+            state.progress = Progress::Missing;
+        }
+    }
+
+    /// Sends attempts from here for services whose holder was lost.
+    ///
+    /// A holder may have sent several attempts, so that one more is all that [`GatherPlan::max_runs`] surely allows.
+    fn replace_holder(
+        &mut self,
+        services: &[usize],
+        may_have_run: bool,
+        now: Instant,
+        env: &mut GatherEnv<'_>,
+        actions: &mut Vec<GatherAction>,
+    ) {
+        for &index in services {
+            let Some(state) = self.services.get_mut(index) else {
+                continue;
+            };
+            if !state.delegated || state.progress != Progress::Open {
+                continue;
+            }
+            state.delegated = false;
+            let kind = if may_have_run {
+                state.runs = self.plan.max_runs.saturating_sub(1).max(1);
+                AttemptKind::Retry
+            } else {
+                state.runs = 0;
+                AttemptKind::Primary
+            };
+            self.send(index, kind, now, env, actions);
+        }
+    }
+
     fn receive_failure(
         &mut self,
         id: AttemptId,
@@ -318,7 +424,7 @@
             }
             if state.retry_at.is_some_and(|due| due <= now) {
                 state.retry_at = None;
-                let kind = if state.sent == 0 {
+                let kind = if state.runs == 0 && state.sent == 0 {
                     AttemptKind::Primary
                 } else {
                     AttemptKind::Retry
@@ -372,7 +478,10 @@
             } else {
                 0.0
             };
-            if !env.limits.spend_repeat(service, reserve, env.rng) {
+            if !env
+                .limits
+                .spend_repeat(state.pool, service, reserve, env.rng)
+            {
                 // New requests keep earning tokens, and a late answer is better than none.
                 picked = Err(Blocked::Limit);
             }
--- a/crates/query/tests/gather.rs
+++ b/crates/query/tests/gather.rs
@@ -11,6 +11,7 @@
 use limit::GateKey;
 use limit::Limits;
 use limit::Permit;
+use limit::RepeatPool;
 use limit::RepeatRule;
 use limit::Tuning;
 use proptest::prelude::*;
@@ -65,6 +66,8 @@
             services: names.into(),
             required,
             repeatable,
+            delegated: Vec::new(),
+            pool: RepeatPool::Shared,
             max_runs: 2,
             objective: start + ms(250),
             deadline: start + ms(2_500),
@@ -128,12 +131,18 @@
 
     /// Starts the request and fails its first attempt when the first service has no repeat token left.
     fn fail_without_tokens(&mut self, ratio: f64) {
-        self.limits.set_repeat_rule(RepeatRule {
-            ratio,
-            slack: 0.0,
-            nodes: 1,
-        });
-        while self.limits.spend_repeat(&"s0".into(), 0.0, &mut self.rng) {}
+        self.limits.set_repeat_rule(
+            RepeatPool::Shared,
+            RepeatRule {
+                ratio,
+                slack: 0.0,
+                nodes: 1,
+            },
+        );
+        while self
+            .limits
+            .spend_repeat(RepeatPool::Shared, &"s0".into(), 0.0, &mut self.rng)
+        {}
         self.start();
         self.end_attempt(0, Some(Failure::Lost), 10);
     }
@@ -351,8 +360,8 @@
     let mut rig = Rig::new(1, 1, true);
     rig.fail_without_tokens(0.5);
     assert_eq!((rig.sent.len(), &rig.outcome), (0, &None));
-    rig.limits.earn_repeat(&"s0".into());
-    rig.limits.earn_repeat(&"s0".into());
+    rig.limits.earn_repeat(RepeatPool::Shared, &"s0".into());
+    rig.limits.earn_repeat(RepeatPool::Shared, &"s0".into());
     rig.wake();
     assert_eq!(rig.count(AttemptKind::Retry), 1);
 }
