query: wait for servers while their list settles

Ruled out: slow starts (configuration 0.2 s after the process, servers 0.03 s later).

Change: for 2.2 s after the first known server, a service without servers is tried again like a full one; afterwards it is missing at once, as before.

Tests: services_without_servers_are_awaited_while_the_list_settles, services_without_servers_are_refused_once_the_list_is_settled.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -21,6 +21,10 @@
 /// Time after a failed call in which a removed server may be one whose entry expired during the outage of the store.
 pub(crate) const OUTAGE_WINDOW: Duration = Duration::from_secs(3);
 
+/// Time after the first known server within which others may appear: a list has several pages, and entries that expired
+/// during an outage of the store are back within two seconds.
+const SETTLE_TIME: Duration = Duration::from_millis(2_200);
+
 /// Interval at which expired servers and idle connections are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -150,6 +154,9 @@
             } = state;
             let change = directory.update(server, settings, table.as_deref(), limits);
             state.has_servers |= !state.directory.is_empty();
+            if state.has_servers {
+                state.settled_at.get_or_insert(Instant::now() + SETTLE_TIME);
+            }
             if change != ServerChange::Unchanged {
                 log::info!(server = id.as_str(), service = service.as_str(), draining, change:? = change; "servers: entry updated");
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -79,6 +79,8 @@
     /// Longest time left that callers have given on each route.
     pub(crate) max_timeouts: HashMap<RouteName, Duration>,
     pub(crate) has_servers: bool,
+    /// Time from which a service without servers is taken to have none, once any server is known.
+    pub(crate) settled_at: Option<Instant>,
     pub(crate) metrics: Metrics,
     pub(crate) log_limiter: LogLimiter,
     pub(crate) peers: Peers,
@@ -134,6 +136,7 @@
             latencies: HashMap::new(),
             max_timeouts: HashMap::new(),
             has_servers: false,
+            settled_at: None,
             metrics: Metrics::default(),
             log_limiter: LogLimiter::default(),
             peers: Peers::default(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -282,6 +282,7 @@
                 replicas: state.directory.replicas(),
                 limits: &mut state.limits,
                 next_attempt: &mut state.next_attempt,
+                settling: state.settled_at.is_none_or(|settled| now < settled),
                 rng: &mut state.rng,
             };
             gather.handle(event, now, &mut env)
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -67,6 +67,8 @@
     pub limits: &'a mut Limits,
     /// Last attempt id that was assigned; ids are unique on this node.
     pub next_attempt: &'a mut AttemptId,
+    /// Whether servers may still appear, because the list of them has just been read for the first time.
+    pub settling: bool,
     /// Random generator, seeded by the caller.
     pub rng: &'a mut dyn Rng,
 }
@@ -299,7 +301,7 @@
         actions
     }
 
-    /// Sends the first attempts, or none if too few services have an available server.
+    /// Sends the first attempts, or none if too few services have an available server and no more will appear.
     fn start(&mut self, now: Instant, env: &mut GatherEnv<'_>, actions: &mut Vec<GatherAction>) {
         let is_available = |(service, state): &(&ServiceName, &ServiceState)| {
             state.delegated
@@ -310,7 +312,7 @@
         };
         let services = self.plan.services.iter().zip(&self.services);
         let available = services.filter(is_available).count();
-        if available < self.plan.required {
+        if available < self.plan.required && !env.settling {
             for state in &mut self.services {
                 state.progress = Progress::Missing;
             }
@@ -472,6 +474,9 @@
             state.tried.clear();
             picked = Err(Blocked::Limit);
         }
+        if keys.is_empty() && may_run && env.settling {
+            picked = Err(Blocked::Limit);
+        }
         if kind != AttemptKind::Primary && picked.is_ok() {
             let reserve = if kind == AttemptKind::Hedge {
                 RETRY_RESERVE
--- a/crates/query/tests/delegated.rs
+++ b/crates/query/tests/delegated.rs
@@ -90,6 +90,7 @@
             replicas: &self.replicas,
             limits: &mut self.limits,
             next_attempt: &mut self.next_attempt,
+            settling: false,
             rng: &mut self.rng,
         };
         for action in self.gather.handle(event, self.now, &mut env) {
--- a/crates/query/tests/gather.rs
+++ b/crates/query/tests/gather.rs
@@ -35,6 +35,7 @@
     limits: Limits,
     replicas: HashMap<ServiceName, Vec<GateKey>>,
     next_attempt: AttemptId,
+    settling: bool,
     rng: Pcg64Mcg,
     gather: Gather,
     start: Instant,
@@ -78,6 +79,7 @@
             limits,
             replicas,
             next_attempt: 0,
+            settling: false,
             rng: Pcg64Mcg::new(3),
             gather: Gather::new(plan),
             start,
@@ -91,6 +93,7 @@
             replicas: &self.replicas,
             limits: &mut self.limits,
             next_attempt: &mut self.next_attempt,
+            settling: self.settling,
             rng: &mut self.rng,
         };
         for action in self.gather.handle(event, self.start + ms(at), &mut env) {
@@ -418,3 +421,47 @@
         }
     }
 }
+
+/// Guards against requests that fail right after a start because the servers of some services are not known yet, though
+/// they appear well before the deadline (closing power cut of trouble-2 on bv-limpet-large).
+#[test]
+fn services_without_servers_are_awaited_while_the_list_settles() {
+    let mut rig = Rig::new(3, 3, true);
+    let keys = rig.replicas.remove("s2").unwrap();
+    rig.settling = true;
+    rig.start();
+    rig.end_attempt(0, None, 30);
+    rig.end_attempt(1, None, 30);
+    assert_eq!(rig.outcome, None);
+    let mut at = 0;
+    while at < 900 {
+        at = rig.wake();
+    }
+    assert_eq!(rig.outcome, None);
+    rig.replicas.insert("s2".into(), keys);
+    at = rig.wake();
+    assert_eq!(rig.count(AttemptKind::Primary), 1);
+    rig.end_attempt(2, None, at + 30);
+    assert!(matches!(
+        rig.outcome,
+        Some(GatherOutcome::Answered { missing: 0, .. })
+    ));
+}
+
+/// Guards against requests that wait to their deadline for servers that don't exist, and against a refusal that does not
+/// say that the request did not run.
+#[rstest]
+#[case::settled_before(false)]
+#[case::settled_meanwhile(true)]
+fn services_without_servers_are_refused_once_the_list_is_settled(#[case] settling: bool) {
+    let mut rig = Rig::new(2, 2, true);
+    rig.replicas.clear();
+    rig.settling = settling;
+    rig.start();
+    if settling {
+        assert_eq!(rig.outcome, None);
+        rig.settling = false;
+        rig.wake();
+    }
+    assert_eq!(rig.outcome, Some(GatherOutcome::NotRun));
+}
