gateway: pace the calls of followers to a failing store; relays by processor time

While the store fails, each of 295 VMs calls it for two kinds of objects after 0.1 to 3.2 s. When a relay is lost, all its followers call the store at once, and go on while they find no other relay. 18 relays, one for 24 VMs at most, each watch on their own.

Change: the first three gateways of a group look for the store as before. The others ask these every 0.4 s, call the store after 0.3 to 1 times the time in which a configuration must be in force, put off a call when that for the other kind has just failed, and read from the store for 1 s once it answers them. A gateway that takes over as relay lets its followers wait for its first reply. A relay serves up to 64 VMs, since its replies are compressed, and is the VM with the most processor time. The test of group sizes follows: 64 instead of 24, with the same check that no relay polls another one.

Tests: gateway/tests/pacing.rs, strongest_gateway_is_the_relay, first_gateways_look_for_a_lost_store, followers_wait_for_the_first_call_of_a_relay.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,6 +23,7 @@
 use crate::HeaderNames;
 use crate::Holders;
 use crate::LogLimiter;
+use crate::ObjectKind;
 use crate::Peer;
 use crate::Peers;
 use crate::Platform;
@@ -88,6 +89,8 @@
     pub(crate) holders: Holders,
     pub(crate) holder_pool: HolderPool,
     pub(crate) change_logs: ChangeLogs,
+    /// Kind and time of the latest failed call to the store, until a call succeeds.
+    pub(crate) store_failure: Option<(ObjectKind, Instant)>,
     /// Compressed replies to the gateways that follow this one.
     pub(crate) packed_bodies: PackedBodies,
 }
@@ -143,6 +146,7 @@
             holders: Holders::default(),
             holder_pool: HolderPool::default(),
             change_logs: ChangeLogs::default(),
+            store_failure: None,
             packed_bodies: PackedBodies::default(),
         };
         Node {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,6 +21,7 @@
 use crate::ObjectKind;
 use crate::StoreVersion;
 use crate::holders::MIN_ZONE_SIZE;
+use crate::pacing::StoreRole;
 
 /// Size of the changes that a relay keeps for peers that lag behind; a peer that lags further needs a full list.
 const MAX_LOG_BYTES: usize = 512 << 10;
@@ -29,7 +30,10 @@
 const MAX_LOG_ENTRIES: usize = 64;
 
 /// Most gateways that share a relay, the relay included.
-const MAX_GROUP_SIZE: usize = 24;
+const MAX_GROUP_SIZE: usize = 64;
+
+/// Gateways at the start of each group that look for a lost store on behalf of the others.
+const RELAY_CANDIDATES: usize = 3;
 
 /// Time for which an unresponsive relay is skipped.
 const UNRESPONSIVE_SKIP: Duration = Duration::from_secs(4);
@@ -145,7 +149,7 @@
     /// Returns the gateways that share a relay with `node`, in the order in which they become the relay.
     ///
     /// A large zone is divided into groups of similar size, since a relay sends each change to all gateways of its
-    /// group, and a full snapshot to each one that starts.
+    /// group, and a full snapshot to each one that starts. The gateways with the most processor time come first.
     fn find_group(&self, node: &NodeId, zone: &ZoneName) -> Vec<&Peer> {
         let mut in_zone = self.known.iter().filter(|peer| peer.zone == *zone);
         let size = in_zone.clone().count();
@@ -154,13 +158,34 @@
         let position = in_zone.position(|peer| peer.node == *node).unwrap_or(0);
         let group = position * groups / size.max(1);
         let is_in_group = |position: usize| position * groups / size == group;
-        self.known
-            .iter()
-            .filter(|peer| peer.zone == *zone)
+        let mut peers: Vec<&Peer> = self
+            .in_zone(zone)
             .enumerate()
             .filter(|(position, _)| is_in_group(*position))
             .map(|(_, peer)| peer)
-            .collect()
+            .collect();
+        // The sort is stable, so that gateways of the same size stay in the order of their names.
+        peers.sort_by(|one, other| other.cores.total_cmp(&one.cores));
+        peers
+    }
+
+    /// Returns one of the gateways that look for a lost store on behalf of `node`; `turn` counts the questions.
+    pub fn find_candidate(&self, node: &NodeId, zone: &ZoneName, turn: usize) -> Option<Peer> {
+        let group = self.find_group(node, zone);
+        let candidates = &group[..group.len().min(RELAY_CANDIDATES)];
+        let chosen = candidates.get(turn % candidates.len().max(1))?;
+        (chosen.node != *node).then(|| (*chosen).clone())
+    }
+
+    /// Returns what `node` does while the store fails.
+    pub fn store_role(&self, node: &NodeId, zone: &ZoneName) -> StoreRole {
+        let group = self.find_group(node, zone);
+        let position = group.iter().position(|peer| peer.node == *node);
+        match position {
+            Some(position) if position >= RELAY_CANDIDATES => StoreRole::Follower,
+            // A gateway that isn't registered yet may be the only one.
+            Some(_) | None => StoreRole::Relay,
+        }
     }
 
     /// Skips a relay for a time that depends on the result of the failed poll.
@@ -182,7 +207,7 @@
     Snapshot(Snapshot),
     /// There are no changes after that version.
     UpToDate,
-    /// The relay has just started and has read nothing yet.
+    /// The relay has just started, or has just turned to the store, and has no reply yet.
     Starting,
     /// The relay has lost the store, polls another relay itself, or lacks the changes.
     Disconnected,
@@ -249,8 +274,19 @@
     bytes: usize,
     /// Version after which the entries hold every change.
     base: Option<StoreVersion>,
-    /// Whether this gateway reads from the store itself and has not lost it.
-    connected: bool,
+    contact: Contact,
+}
+
+/// Whether a gateway reads from the store itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+enum Contact {
+    /// It polls a relay, or has lost the store.
+    #[default]
+    None,
+    /// It has begun to call the store and has no reply yet.
+    Waiting,
+    /// The latest call succeeded.
+    Connected,
 }
 
 impl ChangeLog {
@@ -260,24 +296,35 @@
         self.entries.clear();
         self.bytes = 0;
         self.base = Some(version);
-        self.connected = true;
+        self.contact = Contact::Connected;
     }
 
     /// Clears the log at a version that was read through a relay, so that this gateway doesn't serve as a relay itself.
     pub fn reset_relayed(&mut self, version: StoreVersion) {
         self.reset(version, Vec::new());
-        self.connected = false;
+        self.contact = Contact::None;
     }
 
     /// Records that the store is lost, until the next successful call.
     pub fn mark_disconnected(&mut self) {
-        self.connected = false;
+        self.contact = Contact::None;
+    }
+
+    /// Records that this gateway calls the store after it polled a relay. Its followers wait for the result, instead of
+    /// calling the store too.
+    pub fn mark_waiting(&mut self) {
+        self.contact = Contact::Waiting;
+    }
+
+    /// Returns whether the latest call to the store succeeded.
+    pub fn is_connected(&self) -> bool {
+        self.contact == Contact::Connected
     }
 
     /// Appends the reply to a watch call, which reaches a version. A reply without changes only shows that the store is
     /// connected.
     pub fn append(&mut self, version: StoreVersion, body: Option<Bytes>) {
-        self.connected = true;
+        self.contact = Contact::Connected;
         let Some(body) = body else {
             return;
         };
@@ -300,8 +347,10 @@
         let Some(base) = self.base else {
             return PollResult::Starting;
         };
-        if !self.connected {
-            return PollResult::Disconnected;
+        match self.contact {
+            Contact::None => return PollResult::Disconnected,
+            Contact::Waiting => return PollResult::Starting,
+            Contact::Connected => {}
         }
         let Some(since) = since.filter(|since| *since >= base) else {
             return self.build_snapshot();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -20,6 +20,8 @@
 use crate::apply::apply_snapshot;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::pacing::Pacing;
+use crate::pacing::StoreRole;
 use crate::relay::RelayClient;
 
 /// Longest wait of one watch call, as a fraction of [`Settings::apply_time`].
@@ -34,13 +36,6 @@
 /// changes that follow closely are batched into the next call.
 const BATCH_FRACTION: f64 = 0.16;
 
-/// Delay after the first failed call. It doubles with each further failure, and a random jitter of up to the same
-/// length is added.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-
-/// Longest delay before jitter. The whole fleet calls a store that is down, and even a refused call has a cost.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_600);
-
 /// Consecutive relays that may fail to supply the changes before this gateway calls the store itself.
 const MAX_DISCONNECTS: u32 = 1;
 
@@ -51,6 +46,15 @@
 /// Longest time for which a starting gateway waits for the list of its peers before it fetches its first objects.
 const PEERS_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time within which a failed poll of a relay leaves time to ask the next one before the store.
+const QUICK_FAILURE: Duration = Duration::from_millis(300);
+
+/// Interval at which a follower asks its relays whether the store is back.
+const ASK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time for which a follower whose relays have lost the store reads from the store itself, before it asks them again.
+const DIRECT_TIME: Duration = Duration::from_secs(1);
+
 /// Where the next changes are read from.
 enum Source {
     Store,
@@ -79,8 +83,10 @@
         poll_now: false,
         failures: 0,
         disconnects: 0,
+        direct_until: None,
         watch_timeout: apply_time.mul_f64(WATCH_FRACTION),
         batch_delay: apply_time.mul_f64(BATCH_FRACTION),
+        pacing: Pacing::new(apply_time),
     };
     loop {
         match task.choose_source() {
@@ -106,13 +112,29 @@
     failures: u32,
     /// Consecutive polls of relays that could not supply the changes.
     disconnects: u32,
+    /// Time until which this gateway reads from the store although it has a relay.
+    direct_until: Option<Instant>,
     watch_timeout: Duration,
     batch_delay: Duration,
+    pacing: Pacing,
 }
 
 impl SyncTask {
+    fn role(&self) -> StoreRole {
+        let state = self.node.state.borrow();
+        let settings = &state.settings;
+        state.peers.store_role(&settings.node, &settings.zone)
+    }
+
+    fn draw_jitter(&self) -> f64 {
+        self.node.state.borrow_mut().rng.random::<f64>()
+    }
+
     fn choose_source(&self) -> Source {
-        if self.poll_now {
+        let is_direct = self
+            .direct_until
+            .is_some_and(|until| Instant::now() < until);
+        if self.poll_now || is_direct {
             return Source::Store;
         }
         let state = self.node.state.borrow();
@@ -125,30 +147,74 @@
 
     /// Polls a relay once; its reply decides where the next changes are read from.
     async fn follow_relay(&mut self, relay: &Peer) {
+        let began = Instant::now();
         match self.poll_relay(relay).await {
-            Ok(version) => {
-                self.since = Some(version);
-                self.disconnects = 0;
-                if let Some(log) = self.node.state.borrow_mut().change_logs.get_mut(self.kind) {
-                    log.reset_relayed(version);
-                }
+            Ok(version) => self.record_relayed(version),
+            Err(RelayError::Unresponsive) if began.elapsed() > QUICK_FAILURE => {
+                self.poll_now = true;
             }
-            Err(RelayError::Disconnected) => {
+            Err(RelayError::Disconnected | RelayError::Unresponsive) => {
                 self.disconnects += 1;
-                self.poll_now = self.disconnects > MAX_DISCONNECTS;
+                if self.disconnects > MAX_DISCONNECTS {
+                    let jitter = self.draw_jitter();
+                    let delay = self.pacing.first_delay(self.role(), jitter);
+                    self.poll_now = !self.ask_relays(delay).await;
+                }
+            }
+        }
+    }
+
+    fn record_relayed(&mut self, version: StoreVersion) {
+        self.since = Some(version);
+        self.disconnects = 0;
+        if let Some(log) = self.node.state.borrow_mut().change_logs.get_mut(self.kind) {
+            log.reset_relayed(version);
+        }
+    }
+
+    /// Waits for a time, and meanwhile asks the relays whether the store is back; returns true as soon as one supplies
+    /// the changes.
+    async fn ask_relays(&mut self, time: Duration) -> bool {
+        let end = Instant::now() + time;
+        let mut turn = 0;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            tokio::time::sleep(left.min(ASK_INTERVAL)).await;
+            let relay = {
+                let state = self.node.state.borrow();
+                let settings = &state.settings;
+                state
+                    .peers
+                    .find_candidate(&settings.node, &settings.zone, turn)
+            };
+            turn += 1;
+            if let Some(relay) = relay
+                && let Ok(version) = self.poll_relay(&relay).await
+            {
+                self.record_relayed(version);
+                return true;
             }
-            Err(RelayError::Unresponsive) => self.poll_now = true,
         }
     }
 
     /// Calls the store once, then delays the next call if changes arrived or the call failed.
     async fn follow_store(&mut self) {
+        let role = self.role();
+        let delay = self.shared_delay(role);
+        if !delay.is_zero() && self.ask_relays(delay).await {
+            self.poll_now = false;
+            return;
+        }
         let began = Instant::now();
+        let is_connected = self.begin_call();
         let result = match self.since {
             None => self.list().await,
             Some(version) => {
                 // With a wait, a store that is still unresponsive would be noticed only after the whole wait.
-                let wait = if self.poll_now {
+                let wait = if self.poll_now || !is_connected {
                     Duration::ZERO
                 } else {
                     self.watch_timeout
@@ -157,9 +223,16 @@
             }
         };
         self.poll_now = false;
-        self.disconnects = 0;
+        let has_lost_relays = self.disconnects > MAX_DISCONNECTS;
         match result {
             Ok((version, changed)) => {
+                self.disconnects = 0;
+                self.direct_until = has_lost_relays.then(|| Instant::now() + DIRECT_TIME);
+                self.node.state.borrow_mut().store_failure = None;
+                if !is_connected {
+                    // Followers wait for the result.
+                    self.node.store_changed.notify_waiters();
+                }
                 self.failures = 0;
                 self.since = Some(version);
                 if self
@@ -179,21 +252,30 @@
             }
             Err(StoreFailure::Failed(reason)) => {
                 log::warn!(kind:? = self.kind, since:? = self.since, reason = reason.as_str(); "store: call failed");
-                self.poll_now = true;
-                self.record_failure(began.elapsed());
-                tokio::time::sleep(self.retry_delay()).await;
+                self.record_failure(began.elapsed(), is_connected);
+                let jitter = self.draw_jitter();
+                let delay = self.pacing.retry_delay(role, self.failures, jitter);
+                self.poll_now = match role {
+                    StoreRole::Relay => {
+                        tokio::time::sleep(delay).await;
+                        true
+                    }
+                    StoreRole::Follower => !self.ask_relays(delay).await,
+                };
             }
         }
     }
 
     /// Records a failed call. Once the store counts as lost, also wakes the peers that poll this gateway, so that they
     /// call the store themselves.
-    fn record_failure(&mut self, took: Duration) {
+    fn record_failure(&mut self, took: Duration, was_connected: bool) {
+        let now = Instant::now();
         self.failures += 1;
-        self.last_failure = Some(Instant::now());
+        self.last_failure = Some(now);
         let mut state = self.node.state.borrow_mut();
+        state.store_failure = Some((self.kind, now));
         state.metrics.count(Counter::StoreFailed);
-        if self.failures >= LOST_AFTER_FAILURES || took > self.watch_timeout {
+        if !was_connected || self.failures >= LOST_AFTER_FAILURES || took > self.watch_timeout {
             if let Some(log) = state.change_logs.get_mut(self.kind) {
                 log.mark_disconnected();
             }
@@ -201,10 +283,29 @@
         }
     }
 
-    fn retry_delay(&self) -> Duration {
-        let jitter = self.node.state.borrow_mut().rng.random::<f64>();
-        let delay = MIN_RETRY_DELAY * (1 << self.failures.min(5)) / 2;
-        delay.min(MAX_RETRY_DELAY).mul_f64(1.0 + jitter)
+    /// Returns how long to put off a call because one for another kind of object has just failed.
+    fn shared_delay(&self, role: StoreRole) -> Duration {
+        let failure = self.node.state.borrow().store_failure;
+        match failure {
+            Some((kind, failed)) if kind != self.kind => {
+                self.pacing.shared_delay(role, failed.elapsed())
+            }
+            Some(_) | None => Duration::ZERO,
+        }
+    }
+
+    /// Lets followers wait for the result of a call, if this gateway has not read from the store before it; returns
+    /// whether it has.
+    fn begin_call(&self) -> bool {
+        let mut state = self.node.state.borrow_mut();
+        let Some(log) = state.change_logs.get_mut(self.kind) else {
+            return true;
+        };
+        let is_connected = log.is_connected();
+        if !is_connected && self.failures == 0 {
+            log.mark_waiting();
+        }
+        is_connected
     }
 
     /// Polls a relay and applies its reply; returns the store version reached.
@@ -222,8 +323,11 @@
                 } else {
                     "unsure"
                 };
-                log::info!(relay = relay.node.as_str(), kind:? = kind, since:? = since, reason; "relay: lost");
                 let mut state = node.state.borrow_mut();
+                if let Some(skipped) = state.allow_log_line("relay lost") {
+                    let relay = relay.node.as_str();
+                    log::info!(relay, kind:? = kind, since:? = since, reason, skipped; "relay: lost");
+                }
                 state.metrics.count(Counter::RelayLost);
                 state.peers.skip_relay(&relay.node, &result, Instant::now());
                 return Err(match result {
