limpetwick: give the read of the paused-platform test time on a busy machine

Cause: paused_platform_refuses_claims_but_not_reads called a service whose callers wait for 250 ms.

Change: the test publishes the examples with a deadline of 30 s for that service. The check is as strict: a read that depended on the paused platform would fail at its deadline, however long.

--- a/crates/limpetwick/tests/fleet/mod.rs
+++ b/crates/limpetwick/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -76,6 +77,7 @@
     pub platform_addr: SocketAddr,
     pub control: SocketAddr,
     dir: PathBuf,
+    declarations: PathBuf,
     ports: Ports,
     http: Client<HttpConnector, Full<Bytes>>,
 }
@@ -86,8 +88,26 @@
         Fleet::start_with(test, ZONES.len(), &[]).await
     }
 
+    /// Starts a fleet of three entry VMs in which the callers of one service wait for `deadline`, so that a busy machine
+    /// doesn't make its answers late.
+    pub async fn start_with_deadline(test: &str, service: &str, deadline: &str) -> Fleet {
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-declarations"));
+        copy_declarations(&dir, service, deadline).expect("the directory is writable");
+        Fleet::start_from(test, ZONES.len(), &[], dir).await
+    }
+
     /// Starts a fleet with the given number of entry VMs and additional flags for the stand-ins of the upstreams.
     pub async fn start_with(test: &str, entries: usize, flags: &[&str]) -> Fleet {
+        let declarations = PathBuf::from(EXAMPLES).join("brunner-vaucher");
+        Fleet::start_from(test, entries, flags, declarations).await
+    }
+
+    async fn start_from(
+        test: &str,
+        entries: usize,
+        flags: &[&str],
+        declarations: PathBuf,
+    ) -> Fleet {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         std::fs::create_dir_all(&dir).expect("the directory is writable");
         let mut ports = Ports::new();
@@ -122,6 +142,7 @@
             platform_addr,
             control,
             dir,
+            declarations,
             ports,
             http,
         };
@@ -162,7 +183,7 @@
     pub fn publish(&self) -> Option<i32> {
         Process::start(&[
             "publish",
-            &format!("{EXAMPLES}/brunner-vaucher"),
+            self.declarations.to_str().expect("the path is text"),
             "--platform",
             &self.platform_addr.to_string(),
             "--entry",
@@ -228,6 +249,24 @@
     }
 }
 
+/// Copies the examples, with another deadline for one service.
+fn copy_declarations(dir: &Path, service: &str, deadline: &str) -> std::io::Result<()> {
+    std::fs::create_dir_all(dir)?;
+    for entry in std::fs::read_dir(Path::new(EXAMPLES).join("brunner-vaucher"))? {
+        let entry = entry?;
+        let mut text = std::fs::read_to_string(entry.path())?;
+        if entry.file_name() == format!("{service}.toml").as_str() {
+            let replace = |line: &str| match line.starts_with("deadline = ") {
+                true => format!("deadline = \"{deadline}\"\n"),
+                false => format!("{line}\n"),
+            };
+            text = text.lines().map(replace).collect();
+        }
+        std::fs::write(dir.join(entry.file_name()), text)?;
+    }
+    Ok(())
+}
+
 async fn get(
     http: &Client<HttpConnector, Full<Bytes>>,
     addr: SocketAddr,
--- a/crates/limpetwick/tests/processes.rs
+++ b/crates/limpetwick/tests/processes.rs
@@ -137,10 +137,10 @@
 }
 
 /// Guards against a request that is sent without a claim while the platform is paused, and against reads that depend
-/// on the platform.
+/// on the platform. A read that waits for the platform fails at its deadline, however long that is.
 #[tokio::test(flavor = "multi_thread")]
 async fn paused_platform_refuses_claims_but_not_reads() {
-    let fleet = Fleet::start("paused_platform").await;
+    let fleet = Fleet::start_with_deadline("paused_platform", "advisers", "30s").await;
     fleet.platform.signal(Signal::SIGSTOP);
     let read = fleet
         .call(0, "advisers", "search", None)
