gateway: a stopping holder finishes, and one that reaches no servers is skipped

Cause: a planned stop waits for the callers of the gateway itself. A holder without callers ended 2.5 s after the signal with requests of other gateways in progress, whose servers then ran them once more. And a holder that runs but can't reach the servers sends frames on time, so that every request of the zone waited for its parts to the deadline.

Change: a stop also waits for delegated requests, within the grace period. At the end of a request, a holder that delivered less than half of its parts, while three quarters of the others came, is skipped as after a failure.

--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -29,6 +29,9 @@
 /// Processor time that is assumed for a gateway that doesn't state any, as a fraction of a core.
 const ASSUMED_CORES: f64 = 0.1;
 
+/// Fewest missing parts for which a holder may be to blame; the servers of a single shard may all be lost.
+const MIN_MISSING: usize = 2;
+
 /// Time for which a holder is skipped after a failure; each further failure doubles it.
 const FIRST_SKIP: Duration = Duration::from_secs(1);
 
@@ -143,6 +146,43 @@
         self.failed.insert(node.clone(), Failed { until, skip });
     }
 
+    /// Skips the holders that delivered too little of a request which has ended; `missing` says whether a service of the
+    /// request has no part.
+    ///
+    /// A holder that runs but can't reach the servers keeps every request of the zone waiting. Servers that fail are
+    /// spread over all holders, so a holder is to blame only if the parts of the others came.
+    pub fn record_delivery(
+        &mut self,
+        assignments: &[Assignment],
+        missing: impl Fn(usize) -> bool,
+        now: Instant,
+    ) -> Vec<NodeId> {
+        let count_missing = |assignment: &Assignment| {
+            let services = assignment.services.iter();
+            services.filter(|service| missing(**service)).count()
+        };
+        let all_missing: usize = assignments.iter().map(count_missing).sum();
+        let all: usize = assignments
+            .iter()
+            .map(|assignment| assignment.services.len())
+            .sum();
+        let mut suspects = Vec::new();
+        for assignment in assignments {
+            let Some(holder) = &assignment.holder else {
+                continue;
+            };
+            let own_missing = count_missing(assignment);
+            let own = assignment.services.len();
+            let is_bad = own_missing >= MIN_MISSING && own_missing * 2 > own;
+            let are_others_good = (all_missing - own_missing) * 4 <= all - own;
+            if is_bad && are_others_good {
+                self.record_failure(&holder.node, now);
+                suspects.push(holder.node.clone());
+            }
+        }
+        suspects
+    }
+
     /// Records that a holder has answered.
     pub fn record_success(&mut self, node: &NodeId) {
         self.failed.remove(node);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -109,6 +109,8 @@
     pub(crate) peers_listed: Notify,
     /// Number of open connections of callers.
     pub(crate) caller_connections: Cell<usize>,
+    /// Number of requests in progress for which this gateway is a holder.
+    pub(crate) delegations: Cell<usize>,
     /// Number of open connections to servers.
     pub(crate) upstream_connections: Cell<usize>,
 }
@@ -158,6 +160,7 @@
             loaded: Notify::new(),
             peers_listed: Notify::new(),
             caller_connections: Cell::new(0),
+            delegations: Cell::new(0),
             upstream_connections: Cell::new(0),
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -126,7 +126,7 @@
     let assignments = assign_services(node, &admitted.route);
     let mut gather = Gather::new(build_plan(node, &admitted, &assignments));
     let (mut run, mut received) = RequestRun::new(node, admitted);
-    run.delegate(assignments);
+    run.delegate(&assignments);
     let mut event = GatherEvent::Start;
     let outcome = loop {
         if let Some(outcome) = run.apply_event(&mut gather, event) {
@@ -144,6 +144,7 @@
     };
     guard.ended = true;
     run.report(&outcome, &gather, started);
+    run.judge_holders(&assignments, &gather);
     run.respond(outcome)
 }
 
@@ -242,18 +243,18 @@
     }
 
     /// Asks the holders for the parts of the services that are assigned to them.
-    fn delegate(&mut self, assignments: Vec<Assignment>) {
+    fn delegate(&mut self, assignments: &[Assignment]) {
         let Target::Shards { services, .. } = &self.route.target else {
             return;
         };
         let fingerprint = hash_services(services);
         for assignment in assignments {
-            let Some(holder) = assignment.holder else {
+            let Some(holder) = assignment.holder.clone() else {
                 continue;
             };
             let delegation = Delegation {
                 fingerprint,
-                services: assignment.services,
+                services: assignment.services.clone(),
             };
             let mut state = self.node.state.borrow_mut();
             state.metrics.count(Counter::DelegationSent);
@@ -395,6 +396,25 @@
         }
     }
 
+    /// Skips holders that delivered too little of the request.
+    fn judge_holders(&self, assignments: &[Assignment], gather: &Gather) {
+        let unanswered = gather.unanswered_services();
+        if unanswered.is_empty() {
+            return;
+        }
+        let missing = |index: usize| unanswered.iter().any(|service| service.index == index);
+        let mut state = self.node.state.borrow_mut();
+        let now = Instant::now();
+        for holder in state.holders.record_delivery(assignments, missing, now) {
+            state.metrics.count(Counter::HolderLost);
+            if let Some(skipped) = state.allow_log_line("holder late") {
+                let id = self.outgoing.id.to_str().unwrap_or("?");
+                let holder = holder.as_str();
+                log::info!(id, holder, skipped; "holder: delivered too little; skipped for a time");
+            }
+        }
+    }
+
     /// Counts the outcome of the request, and logs it unless the answer is whole.
     fn report(&self, outcome: &GatherOutcome, gather: &Gather, started: Instant) {
         let (kind, counter) = match outcome {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -167,10 +167,12 @@
     // Sending fails only if every receiver is gone, and with them the connections to close.
     let _ = close.send(true);
     let end = began + grace.saturating_sub(END_MARGIN);
-    while node.caller_connections.get() > 0 && Instant::now() < end {
+    let is_busy = || node.caller_connections.get() > 0 || node.delegations.get() > 0;
+    while is_busy() && Instant::now() < end {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
-    log::info!(callers = node.caller_connections.get(); "gateway: stopped");
+    let (callers, delegations) = (node.caller_connections.get(), node.delegations.get());
+    log::info!(callers, delegations; "gateway: stopped");
 }
 
 fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
--- a/crates/gateway/tests/holders.rs
+++ b/crates/gateway/tests/holders.rs
@@ -176,3 +176,32 @@
     let own = holders.assign(&services, &"strong-2".into(), now);
     assert_eq!((own.len(), own[0].holder.clone()), (1, None));
 }
+
+/// Guards against a holder that runs but can't reach the servers, for which every request of the zone waits; and against
+/// holders that are blamed for lost servers, which are spread over all of them.
+#[rstest]
+#[case::whole(&[], false)]
+#[case::one_shard(&[0], false)]
+#[case::most_of_one_holder(&[0, 1, 2, 3], true)]
+#[case::half_of_one_holder(&[0, 1, 2], false)]
+#[case::some_of_each(&[0, 1, 2, 3, 10, 11, 12, 13], false)]
+#[case::everything(&[0, 1, 2, 3, 4, 5, 10, 11, 12, 13, 14, 15], false)]
+fn holder_is_blamed_if_only_its_parts_are_missing(
+    #[case] missing: &[usize],
+    #[case] expected: bool,
+) {
+    let mut holders = create_holders(&create_zone(3, 45));
+    let now = Instant::now();
+    let assignment = |node: &str, services: std::ops::Range<usize>| Assignment {
+        holder: Some(peer(node, 0.5)),
+        services: services.collect(),
+    };
+    let assignments = [assignment("strong-0", 0..6), assignment("strong-1", 10..22)];
+    let is_missing = |service| missing.contains(&service);
+    let blamed = holders.record_delivery(&assignments, is_missing, now);
+    assert_eq!(blamed.contains(&"strong-0".into()), expected);
+    let services = create_services(90);
+    let used = holder_of(&holders.assign(&services, &"weak-9".into(), now), 90);
+    assert_eq!(used.contains(&"strong-0".into()), !expected);
+    assert!(used.contains(&"strong-1".into()));
+}
