gateway: keep no idle connections to shards where holders send

All go to the servers of one shard, which routes to a single service name: 295 gateways send there themselves and keep a connection open afterwards, where the servers accept 195.

Change: a gateway of a zone with holders that isn't one itself closes its connections to the servers of shards after use. It seldom sends there.

Test: holders_divide_the_connections_of_shards.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -254,7 +254,8 @@
         connection.idle_timeout = announced;
     }
     let mut state = node.state.borrow_mut();
-    if state.directory.endpoint(key).is_some() {
+    let endpoint = state.directory.endpoint(key);
+    if endpoint.is_some_and(|endpoint| endpoint.keeps_idle) {
         state.pool.put(key, connection, Instant::now());
     }
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -32,13 +32,21 @@
 /// Percentage of a server's connections that is divided among the gateways of its own region.
 const REGION_PERCENT: u32 = 70;
 
-/// How many gateways divide the connections of a shard's servers, if only holders send to them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ShardSenders {
-    /// In the region of this gateway, which is a holder itself.
-    pub region: u32,
-    /// In all other regions together.
-    pub elsewhere: u32,
+/// Which gateways send to the servers of shards.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ShardSenders {
+    /// All gateways, this one included.
+    #[default]
+    All,
+    /// Holders; this gateway is one of them.
+    Holders {
+        /// Holders of a shard in the region of this gateway.
+        region: u32,
+        /// Holders of a shard in all other regions together.
+        elsewhere: u32,
+    },
+    /// Holders; this gateway only replaces a lost one.
+    Others,
 }
 
 /// A server, as described by a report that it wrote to the store.
@@ -80,6 +88,8 @@
     pub id: UpstreamId,
     /// Address for requests.
     pub addr: SocketAddr,
+    /// Whether idle connections to it are kept. It has too few of them for gateways that seldom send to it.
+    pub keeps_idle: bool,
 }
 
 /// Effect of an update on the servers that may receive requests.
@@ -109,7 +119,7 @@
     expiring: HashMap<UpstreamId, Instant>,
     /// Number of gateways that share the servers of each zone.
     nodes: HashMap<ZoneName, u32>,
-    shard_senders: Option<ShardSenders>,
+    shard_senders: ShardSenders,
 }
 
 impl Directory {
@@ -118,21 +128,17 @@
         Directory::default()
     }
 
-    /// Sets how many gateways share the servers of each zone, and those of shards if this gateway is a holder.
+    /// Sets how many gateways share the servers of each zone, and which gateways send to those of shards.
     ///
     /// [`Directory::update_shares`] applies the numbers to the servers that are known already.
-    pub fn set_nodes(
-        &mut self,
-        nodes: HashMap<ZoneName, u32>,
-        shard_senders: Option<ShardSenders>,
-    ) {
+    pub fn set_nodes(&mut self, nodes: HashMap<ZoneName, u32>, shard_senders: ShardSenders) {
         self.nodes = nodes;
         self.shard_senders = shard_senders;
     }
 
     /// Divides the connections of all servers anew, after the gateways or the configuration changed.
     pub fn update_shares(
-        &self,
+        &mut self,
         settings: &Settings,
         table: Option<&RouteTable>,
         limits: &mut Limits,
@@ -141,6 +147,9 @@
             if let Some(key) = key {
                 let share = self.connection_share(server, settings, table);
                 limits.set_share(*key, share);
+                if let Some(endpoint) = self.endpoints.get_mut(*key) {
+                    endpoint.keeps_idle = keeps_idle(self.shard_senders, server, table);
+                }
             }
         }
     }
@@ -293,6 +302,7 @@
         let endpoint = Endpoint {
             id: server.id.clone(),
             addr: server.addr,
+            keeps_idle: keeps_idle(self.shard_senders, server, table),
         };
         self.endpoints.insert(key, endpoint);
         self.replicas
@@ -313,12 +323,15 @@
         table: Option<&RouteTable>,
     ) -> u32 {
         let connections = find_connections(server, table);
-        let is_shard = table.is_some_and(|table| table.is_shard(&server.service));
+        let senders = match is_shard(server, table) {
+            true => self.shard_senders,
+            false => ShardSenders::All,
+        };
         let is_near = settings.regions.get(&server.zone) == Some(&settings.region);
-        let (percent, nodes) = match self.shard_senders.filter(|_| is_shard) {
-            Some(senders) if is_near => (REGION_PERCENT, senders.region),
-            Some(senders) => (100 - REGION_PERCENT, senders.elsewhere),
-            None => {
+        let (percent, nodes) = match senders {
+            ShardSenders::Holders { region, .. } if is_near => (REGION_PERCENT, region),
+            ShardSenders::Holders { elsewhere, .. } => (100 - REGION_PERCENT, elsewhere),
+            ShardSenders::All | ShardSenders::Others => {
                 let nodes = self.nodes.get(&server.zone).copied();
                 (REGION_PERCENT, nodes.unwrap_or(ASSUMED_NODES))
             }
@@ -340,6 +353,15 @@
     }
 }
 
+fn is_shard(server: &Server, table: Option<&RouteTable>) -> bool {
+    table.is_some_and(|table| table.is_shard(&server.service))
+}
+
+/// Returns whether idle connections to a server are kept.
+fn keeps_idle(senders: ShardSenders, server: &Server, table: Option<&RouteTable>) -> bool {
+    senders != ShardSenders::Others || !is_shard(server, table)
+}
+
 /// Returns how many connections a server accepts from all gateways together.
 fn find_connections(server: &Server, table: Option<&RouteTable>) -> u32 {
     table
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -271,25 +271,28 @@
                 (zone.clone(), u32::try_from(sharing).unwrap_or(u32::MAX))
             })
             .collect();
-        let senders = self.count_shard_senders();
+        let senders = self.find_shard_senders();
         self.directory.set_nodes(nodes, senders);
         self.update_connection_shares();
     }
 
-    /// Returns how many gateways send to each shard, if this gateway is a holder.
-    fn count_shard_senders(&self) -> Option<ShardSenders> {
+    /// Returns which gateways send to the servers of shards.
+    fn find_shard_senders(&self) -> ShardSenders {
         let settings = &self.settings;
+        if self.holders.is_empty() {
+            return ShardSenders::All;
+        }
         if !self.holders.contains(&settings.node) {
-            return None;
+            return ShardSenders::Others;
         }
         let is_near = |region: &&RegionName| **region == settings.region;
         let near = settings.regions.values().filter(is_near).count();
         let far = settings.regions.len() - near;
         let count = |zones: usize| u32::try_from(zones).unwrap_or(u32::MAX);
-        Some(ShardSenders {
+        ShardSenders::Holders {
             region: count(near).saturating_mul(SENDERS_PER_ZONE),
             elsewhere: count(far).saturating_mul(SENDERS_PER_ZONE),
-        })
+        }
     }
 
     fn update_connection_shares(&mut self) {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -235,9 +235,11 @@
 #[test]
 fn holders_divide_the_connections_of_shards() {
     const GATEWAYS: u32 = 98;
-    const SENDERS: ShardSenders = ShardSenders {
-        region: 4,
-        elsewhere: 8,
+    const REGION: u32 = 4;
+    const ELSEWHERE: u32 = 8;
+    const HOLDERS: ShardSenders = ShardSenders::Holders {
+        region: REGION,
+        elsewhere: ELSEWHERE,
     };
     let table = create_table();
     let mut rig = Rig::new();
@@ -253,12 +255,17 @@
         rig.directory
             .update_shares(&rig.settings, Some(&table), &mut rig.limits);
         let key = rig.limits.key(&id).unwrap();
-        rig.limits.gate(key).unwrap().share().unwrap()
+        let endpoint = rig.directory.endpoint(key).unwrap();
+        let share = rig.limits.gate(key).unwrap().share().unwrap();
+        (share, endpoint.keeps_idle)
     };
-    assert_eq!(shares("shard", "z", None), 2);
-    let near = shares("shard", "z", Some(SENDERS));
-    let far = shares("shard", "elsewhere", Some(SENDERS));
+    assert_eq!(shares("shard", "z", ShardSenders::All), (2, true));
+    let (near, _) = shares("shard", "z", HOLDERS);
+    let (far, _) = shares("shard", "elsewhere", HOLDERS);
     assert_eq!((near, far), (34, 7));
-    assert!(near * SENDERS.region + far * SENDERS.elsewhere <= 195);
-    assert_eq!(shares("single", "z", Some(SENDERS)), 2);
+    assert!(near * REGION + far * ELSEWHERE <= 195);
+    assert_eq!(shares("single", "z", HOLDERS), (2, true));
+    // Idle connections of all gateways, which seldom send to a shard, would fill its servers.
+    assert_eq!(shares("shard", "z", ShardSenders::Others), (2, false));
+    assert_eq!(shares("single", "z", ShardSenders::Others), (2, true));
 }
