query, gateway: move the events of a gather and the plan of a request into files of their own

Change: gather_event.rs has the plan, events, actions and outcomes; plan.rs chooses services, holders and the parts that are enough. No behaviour changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod pacing;
 mod packed;
 mod peers;
+mod plan;
 mod platform;
 mod pool;
 mod relay;
