--- a/crates/gateway/src/holder_client.rs
+++ b/crates/gateway/src/holder_client.rs
@@ -76,20 +76,29 @@
     now.saturating_duration_since(since) < IDLE_TIMEOUT && !connection.sender.is_closed()
 }
 
-/// Why a holder is not relied on any more.
+/// Why a holder is not relied on for a request.
 struct Lost {
     reason: &'static str,
     /// Whether it may have sent attempts.
     may_have_run: bool,
+    /// Whether the holder is healthy and refuses just this request.
+    refused: bool,
 }
 
 const fn lost(reason: &'static str, may_have_run: bool) -> Lost {
     Lost {
         reason,
         may_have_run,
+        refused: false,
     }
 }
 
+const REFUSED: Lost = Lost {
+    reason: "the holder refused the request",
+    may_have_run: false,
+    refused: true,
+};
+
 /// Asks a holder for parts, and reports each of them and, if the holder fails, the services that are still open.
 pub(crate) async fn delegate(
     node: Rc<Node>,
@@ -105,7 +114,10 @@
         state.holders.record_success(&holder.node);
         return;
     };
-    state.holders.record_failure(&holder.node, Instant::now());
+    // A holder with another configuration, which refuses, may serve the next request.
+    if !lost.refused {
+        state.holders.record_failure(&holder.node, Instant::now());
+    }
     state.metrics.count(Counter::HolderLost);
     if let Some(skipped) = state.allow_log_line("holder lost") {
         let id = outgoing.id.to_str().unwrap_or("?");
@@ -155,8 +167,10 @@
         }
         Err(_) => return Err(lost("no reply came in time", true)),
     };
-    if response.status() != StatusCode::OK {
-        return Err(lost("the holder refused the request", false));
+    match response.status() {
+        StatusCode::OK => {}
+        StatusCode::SERVICE_UNAVAILABLE => return Err(REFUSED),
+        _ => return Err(lost("the holder does not know delegated requests", false)),
     }
     receive_parts(node, response.into_body(), open, results).await?;
     let now = Instant::now();
