gateway: a removed or unreadable object drops a server only if it is one

Cause: the removal of any object, and any that can't be read, was applied by name to the servers. A configuration object named like a server drops that server.

Change: only objects of the kind of servers remove servers; a removed configuration is logged and the last one stays in force.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -55,7 +55,7 @@
     last_failure: Option<Instant>,
 ) -> Result<StoreVersion, DecodeError> {
     let batch = node.platform.read_changes(kind, body)?;
-    apply_objects(node, batch.objects, last_failure);
+    apply_objects(node, kind, batch.objects, last_failure);
     Ok(batch.version)
 }
 
@@ -100,7 +100,7 @@
         self.after = batch.objects.last().map(|object| object.name.to_string());
         self.names
             .extend(batch.objects.iter().map(|object| object.name.clone()));
-        apply_objects(node, batch.objects, last_failure);
+        apply_objects(node, kind, batch.objects, last_failure);
         Ok(batch.more && self.after.is_some())
     }
 
@@ -118,17 +118,22 @@
     }
 }
 
-pub(crate) fn apply_objects(node: &Node, objects: Vec<Object>, last_failure: Option<Instant>) {
+pub(crate) fn apply_objects(
+    node: &Node,
+    kind: ObjectKind,
+    objects: Vec<Object>,
+    last_failure: Option<Instant>,
+) {
     let mut state = node.state.borrow_mut();
     for object in objects {
-        apply(&mut state, object, last_failure);
+        apply(&mut state, kind, object, last_failure);
     }
     if state.is_loaded() {
         node.loaded.notify_waiters();
     }
 }
 
-fn apply(state: &mut State, object: Object, last_failure: Option<Instant>) {
+fn apply(state: &mut State, kind: ObjectKind, object: Object, last_failure: Option<Instant>) {
     match object.value {
         ObjectState::Configuration(table) => {
             let known = state.table.as_ref().map(|table| table.revision);
@@ -165,10 +170,19 @@
         ObjectState::Peer(peer) => {
             log::warn!(peer = peer.node.as_str(); "peers: ignored a gateway entry outside the list of peers")
         }
-        ObjectState::Removed => remove(state, &object.name, last_failure),
+        ObjectState::Removed => match kind {
+            ObjectKind::Servers => remove(state, &object.name, last_failure),
+            // The last configuration stays in force.
+            ObjectKind::Configuration | ObjectKind::Peers => {
+                log::warn!(kind:? = kind, name = object.name.as_str(); "store: object removed; ignored")
+            }
+        },
         ObjectState::Unreadable(reason) => {
-            log::warn!(name = object.name.as_str(), reason = reason.as_str(); "store: failed to decode an object");
-            remove(state, &object.name, None);
+            log::warn!(kind:? = kind, name = object.name.as_str(), reason = reason.as_str(); "store: failed to decode an object");
+            // An entry that can't be read names no server to use.
+            if kind == ObjectKind::Servers {
+                remove(state, &object.name, None);
+            }
         }
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -381,7 +381,7 @@
         let batch = node.platform.read_changes(kind, &body)?;
         let changed = !batch.objects.is_empty();
         let version = batch.version.max(since);
-        apply_objects(node, batch.objects, last_failure);
+        apply_objects(node, kind, batch.objects, last_failure);
         if let Some(log) = node.state.borrow_mut().change_logs.get_mut(kind) {
             log.append(version, changed.then_some(body));
         }
