limit: an attempt that was not sent says nothing about its server

Cause: an attempt that the gateway gave up before sending (deadline passed, no descriptor left, server gone) was released as shed, which lowers the server's concurrency limit and raises its error rate. A busy gateway so avoids servers that are well.

Change: AttemptOutcome::Unsent, which only ends the attempt.

Result: unsent_attempts_say_nothing_about_the_server passes; with the outcome Shed, as before, it fails.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -69,6 +69,8 @@
 pub(crate) struct AttemptError {
     pub(crate) failure: Failure,
     pub(crate) reason: &'static str,
+    /// Whether this gateway sent nothing, for a reason of its own.
+    unsent: bool,
 }
 
 /// Returns a permit to its gate when dropped, also if the attempt is cancelled.
@@ -108,6 +110,7 @@
         Ok(reply) if reply.is_failure => AttemptOutcome::Failed,
         Ok(_) => AttemptOutcome::Replied,
         Err(error) => match error.failure {
+            Failure::NotRun if error.unsent => AttemptOutcome::Unsent,
             Failure::NotRun => AttemptOutcome::Shed,
             Failure::Refused => AttemptOutcome::Refused,
             Failure::Retired(_) => AttemptOutcome::Rejected,
@@ -124,7 +127,7 @@
 ) -> Result<Reply, AttemptError> {
     let endpoint = node.state.borrow().directory.endpoint(key).cloned();
     let Some(endpoint) = endpoint else {
-        return fail(Failure::NotRun, "the server is no longer registered");
+        return fail_unsent("the server is no longer registered");
     };
     let mut connection = match take_idle_connection(node, outgoing, key) {
         Some(connection) => connection,
@@ -195,7 +198,7 @@
     if node.upstream_connections.get() >= node.connection_limit()
         && !node.state.borrow_mut().pool.close_oldest()
     {
-        return fail(Failure::NotRun, "the limit of open connections is reached");
+        return fail_unsent("the limit of open connections is reached");
     }
     let began = Instant::now();
     let connecting = connect(addr, ConnectionGuard::new(node));
@@ -226,7 +229,7 @@
     let left = outgoing.deadline.saturating_duration_since(Instant::now());
     let millis = left.as_millis() as u64;
     if millis == 0 {
-        return fail(Failure::NotRun, "the deadline has passed");
+        return fail_unsent("the deadline has passed");
     }
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
@@ -235,10 +238,7 @@
     let headers = request.headers_mut();
     headers.insert(&node.headers.deadline, HeaderValue::from(millis));
     let Ok(target) = HeaderValue::from_str(target) else {
-        return fail(
-            Failure::NotRun,
-            "the id of the server is not a valid header value",
-        );
+        return fail_unsent("the id of the server is not a valid header value");
     };
     headers.insert(&node.headers.target, target);
     Ok(request)
@@ -296,7 +296,20 @@
 }
 
 fn fail<T>(failure: Failure, reason: &'static str) -> Result<T, AttemptError> {
-    Err(AttemptError { failure, reason })
+    Err(AttemptError {
+        failure,
+        reason,
+        unsent: false,
+    })
+}
+
+/// Ends an attempt that this gateway could not send, which is no sign of a server that sheds.
+fn fail_unsent<T>(reason: &'static str) -> Result<T, AttemptError> {
+    Err(AttemptError {
+        failure: Failure::NotRun,
+        reason,
+        unsent: true,
+    })
 }
 
 /// Removes the hop-by-hop headers, including those that `Connection` names.
--- a/crates/limit/src/attempt.rs
+++ b/crates/limit/src/attempt.rs
@@ -39,6 +39,8 @@
     Refused,
     /// The connection failed or the reply was lost.
     Failed,
+    /// This node could not send the attempt, for a reason of its own; it says nothing about the upstream.
+    Unsent,
     /// This node abandoned the attempt; the elapsed time is a lower bound of the reply time.
     Cancelled,
 }
--- a/crates/limit/src/error_rate.rs
+++ b/crates/limit/src/error_rate.rs
@@ -27,12 +27,14 @@
         self.rate * decay(HALF_LIFE, now.saturating_duration_since(updated))
     }
 
-    /// Records the outcome of an attempt; cancelled and rejected attempts say nothing about the upstream's health.
+    /// Records the outcome of an attempt; unsent, cancelled and rejected attempts say nothing about the upstream's health.
     pub(crate) fn record(&mut self, outcome: AttemptOutcome, now: Instant) {
         let sample = match outcome {
             AttemptOutcome::Replied => 0.0,
             AttemptOutcome::Shed | AttemptOutcome::Refused | AttemptOutcome::Failed => 1.0,
-            AttemptOutcome::Rejected | AttemptOutcome::Cancelled => return,
+            AttemptOutcome::Rejected | AttemptOutcome::Unsent | AttemptOutcome::Cancelled => {
+                return;
+            }
         };
         let recent = self.rate(now);
         self.rate = recent + EWMA_WEIGHT * (sample - recent);
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -295,6 +295,7 @@
             AttemptOutcome::Rejected => self.clear_failures(),
             AttemptOutcome::Refused => self.reduce_share(now),
             AttemptOutcome::Failed => self.count_failure(now),
+            AttemptOutcome::Unsent => {}
             AttemptOutcome::Cancelled => {
                 if tuning.silence {
                     self.count_silence(sent, time, now);
--- a/crates/limit/tests/fastest.rs
+++ b/crates/limit/tests/fastest.rs
@@ -183,3 +183,21 @@
     let first = count_first(&limits, &keys, Instant::now());
     assert!((30..=70).contains(&first), "{first} of {PICKS}");
 }
+
+/// Guards against a server that is avoided, and whose limit is cut, because this node could not send to it for reasons of
+/// its own, such as a deadline that has passed.
+#[test]
+fn unsent_attempts_say_nothing_about_the_server() {
+    let (mut limits, keys) = create_limits(&["zurich", "far"]);
+    let now = Instant::now();
+    let concurrency = |limits: &Limits| {
+        let gate = limits.gate(keys[0]).unwrap();
+        (gate.concurrency(limits.tuning(), now), gate.in_flight())
+    };
+    let before = concurrency(&limits);
+    for _ in 0..6 {
+        run_attempt(&mut limits, keys[0], AttemptOutcome::Unsent, now, ms(1));
+    }
+    assert_eq!(count_first(&limits, &keys, now + ms(10)), PICKS);
+    assert_eq!(concurrency(&limits), before);
+}
