gateway: delegate a request only if it does not end at once

Cause: the messages to holders left before the gather had started. A request that ends there, because too few services have a server, is refused as not run although holders got it. Only requests that may be repeated are delegated, so that none ran twice, but the refusal was not true.

Change: the gather starts first; holders are asked only if it goes on.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -124,14 +124,17 @@
     let assignments = assign_services(node, &admitted.route);
     let mut gather = Gather::new(build_plan(node, &admitted, &assignments));
     let (mut run, mut received) = RequestRun::new(node, admitted);
-    run.delegate(&assignments);
-    let mut event = GatherEvent::Start;
+    let mut outcome = run.apply_event(&mut gather, GatherEvent::Start);
+    if outcome.is_none() {
+        // A request that ends at once is refused as not run, so that no holder may have it.
+        run.delegate(&assignments);
+    }
     let outcome = loop {
-        if let Some(outcome) = run.apply_event(&mut gather, event) {
+        if let Some(outcome) = outcome {
             break outcome;
         }
         let wake = gather.next_wake().unwrap_or(gather.plan().deadline);
-        event = tokio::select! {
+        let event = tokio::select! {
             biased;
             progress = received.recv() => match progress {
                 Some(progress) => run.record_progress(progress),
@@ -139,6 +142,7 @@
             },
             () = tokio::time::sleep_until(wake.into()) => GatherEvent::Wake,
         };
+        outcome = run.apply_event(&mut gather, event);
     };
     guard.ended = true;
     run.report(&outcome, &gather, started);
