gateway: one builder of outgoing requests, one guard for counters

Change: OutgoingRequest::build and CountGuard serve all of them, and MAX_REPLY_BYTES bounds both. The crate's page names the holders. No behaviour changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,9 +23,9 @@
 use crate::body::BodyError;
 use crate::body::Reserved;
 use crate::body::read_body;
+use crate::node::CountGuard;
 use crate::node::Node;
 use crate::pool::Connection;
-use crate::pool::ConnectionGuard;
 use crate::pool::connect;
 use crate::pool::parse_keep_alive;
 
@@ -36,7 +36,7 @@
 const RESET_MARGIN: Duration = Duration::from_millis(8);
 
 /// Largest body of a reply, which is buffered in memory until it is complete.
-const MAX_REPLY_BYTES: usize = 4 << 20;
+pub(crate) const MAX_REPLY_BYTES: usize = 4 << 20;
 
 /// The request that each attempt sends to a server on behalf of a caller.
 #[derive(Debug)]
@@ -52,6 +52,25 @@
     pub(crate) deadline: Instant,
 }
 
+impl OutgoingRequest {
+    /// Builds the request with the time that is left, or returns `None` once the deadline has passed.
+    pub(crate) fn build(&self, names: &HeaderNames) -> Option<Request<Full<Bytes>>> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let millis = left.as_millis() as u64;
+        if millis == 0 {
+            return None;
+        }
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        request
+            .headers_mut()
+            .insert(&names.deadline, HeaderValue::from(millis));
+        Some(request)
+    }
+}
+
 /// A complete reply of a server.
 #[derive(Debug)]
 pub(crate) struct Reply {
@@ -201,7 +220,8 @@
         return fail_unsent("the limit of open connections is reached");
     }
     let began = Instant::now();
-    let connecting = connect(addr, ConnectionGuard::new(node));
+    let guard = CountGuard::new(node, |node| &node.upstream_connections);
+    let connecting = connect(addr, guard);
     let connection = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(_)) => return fail(Failure::Refused, "the connection was refused"),
@@ -226,21 +246,13 @@
     outgoing: &OutgoingRequest,
     target: &str,
 ) -> Result<Request<Full<Bytes>>, AttemptError> {
-    let left = outgoing.deadline.saturating_duration_since(Instant::now());
-    let millis = left.as_millis() as u64;
-    if millis == 0 {
+    let Some(mut request) = outgoing.build(&node.headers) else {
         return fail_unsent("the deadline has passed");
-    }
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.uri.clone();
-    *request.headers_mut() = outgoing.headers.clone();
-    let headers = request.headers_mut();
-    headers.insert(&node.headers.deadline, HeaderValue::from(millis));
+    };
     let Ok(target) = HeaderValue::from_str(target) else {
         return fail_unsent("the id of the server is not a valid header value");
     };
-    headers.insert(&node.headers.target, target);
+    request.headers_mut().insert(&node.headers.target, target);
     Ok(request)
 }
 
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -11,12 +11,11 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::attempt::MAX_REPLY_BYTES;
+
 /// Header of a delegated request, which [`Delegation`] encodes.
 pub(crate) const HEADER: &str = "limpetwick-delegation";
 
-/// Largest body of a part, the same as that of a reply.
-const MAX_PART_BYTES: usize = 4 << 20;
-
 const TAG_ALIVE: u8 = 0;
 const TAG_PART: u8 = 1;
 const TAG_GIVEN_UP: u8 = 2;
@@ -179,7 +178,7 @@
         let service = usize::from(head.get_u16());
         let signature_bytes = usize::from(head.get_u16());
         let body_bytes = head.get_u32() as usize;
-        if body_bytes > MAX_PART_BYTES {
+        if body_bytes > MAX_REPLY_BYTES {
             return Err(InvalidFrame);
         }
         if self.buffer.len() < HEAD_BYTES + signature_bytes + body_bytes {
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -35,6 +35,7 @@
 use crate::delegation::HEADER;
 use crate::delegation::hash_services;
 use crate::metrics::Counter;
+use crate::node::CountGuard;
 use crate::node::Node;
 use crate::request::RequestRun;
 
@@ -50,27 +51,8 @@
     run: Pin<Box<dyn Future<Output = ()>>>,
     frames: mpsc::UnboundedReceiver<Frame>,
     is_done: bool,
-    _guard: DelegationGuard,
-}
-
-/// Counts a delegated request for as long as it is in progress, so that a planned stop waits for it.
-struct DelegationGuard {
-    node: Rc<Node>,
-}
-
-impl DelegationGuard {
-    fn new(node: &Rc<Node>) -> DelegationGuard {
-        node.delegations.set(node.delegations.get() + 1);
-        DelegationGuard {
-            node: Rc::clone(node),
-        }
-    }
-}
-
-impl Drop for DelegationGuard {
-    fn drop(&mut self) {
-        self.node.delegations.set(self.node.delegations.get() - 1);
-    }
+    /// Counts the request for as long as it is in progress, so that a planned stop waits for it.
+    _guard: CountGuard,
 }
 
 impl Body for PartStream {
@@ -119,7 +101,7 @@
         .metrics
         .count(Counter::DelegationServed);
     let (sender, frames) = mpsc::unbounded_channel();
-    let guard = DelegationGuard::new(node);
+    let guard = CountGuard::new(node, |node| &node.delegations);
     let node = Rc::clone(node);
     let run = async move { run(&node, admitted, &delegation.services, &sender).await };
     Response::new(Either::Right(PartStream {
--- a/crates/gateway/src/holder_client.rs
+++ b/crates/gateway/src/holder_client.rs
@@ -9,10 +9,8 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
-use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -156,8 +154,13 @@
             }
         }
     };
-    let request = build_request(node, outgoing, delegation)
+    let mut request = outgoing
+        .build(&node.headers)
         .ok_or_else(|| lost("the deadline has passed", false))?;
+    // The encoded header is hexadecimal digits and spaces, which are a valid value.
+    let value = HeaderValue::from_str(&delegation.encode())
+        .map_err(|_| lost("the services can't be named", false))?;
+    request.headers_mut().insert(HEADER, value);
     let sending = connection.sender.try_send_request(request);
     let response = match tokio::time::timeout(SILENCE_TIMEOUT, sending).await {
         Ok(Ok(response)) => response,
@@ -259,24 +262,3 @@
         memory: Some(memory),
     })
 }
-
-fn build_request(
-    node: &Node,
-    outgoing: &OutgoingRequest,
-    delegation: &Delegation,
-) -> Option<Request<Full<Bytes>>> {
-    let left = outgoing.deadline.saturating_duration_since(Instant::now());
-    let millis = left.as_millis() as u64;
-    if millis == 0 {
-        return None;
-    }
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.uri.clone();
-    *request.headers_mut() = outgoing.headers.clone();
-    let headers = request.headers_mut();
-    headers.insert(&node.headers.deadline, HeaderValue::from(millis));
-    let value = HeaderValue::from_str(&delegation.encode()).ok()?;
-    headers.insert(HEADER, value);
-    Some(request)
-}
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -21,6 +21,7 @@
 use crate::accept::accept_connections;
 use crate::accept::serve_connections;
 use crate::metrics::Counter;
+use crate::node::CountGuard;
 use crate::node::Node;
 use crate::request::handle_request;
 
@@ -64,8 +65,7 @@
         let node = Rc::clone(&node);
         async move { Ok::<_, Infallible>(handle_request(node, request).await) }
     });
-    node.caller_connections
-        .set(node.caller_connections.get() + 1);
+    let _open = CountGuard::new(&node, |node| &node.caller_connections);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
@@ -87,8 +87,6 @@
             }
         }
     };
-    node.caller_connections
-        .set(node.caller_connections.get() - 1);
     if let Err(error) = result {
         log::debug!(error:% = error; "ingress: connection failed");
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The path of a request: `ingress` accepts the connection, `admit` finds the route in the [`RouteTable`] and reads the
 //! body, `request` drives [`query::Gather`], `attempt` sends each attempt over a connection of `pool`, and `merge`
-//! merges the parts.
+//! merges the parts. In a large zone, `holders` names the gateways that send the attempts of queries for all others;
+//! `holder_client` asks them, and `holder` answers.
 //!
 //! In the background, `sync` reads the configuration and the servers from the platform's store or from a relay, and
 //! `apply` puts them into the [`RouteTable`] and the [`Directory`]. A relay is another gateway of the zone: `discovery`
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -178,6 +178,30 @@
     }
 }
 
+/// Counts something for as long as it lasts, in one of the counters of a [`Node`].
+pub(crate) struct CountGuard {
+    node: Rc<Node>,
+    counter: fn(&Node) -> &Cell<usize>,
+}
+
+impl CountGuard {
+    pub(crate) fn new(node: &Rc<Node>, counter: fn(&Node) -> &Cell<usize>) -> CountGuard {
+        let count = counter(node);
+        count.set(count.get() + 1);
+        CountGuard {
+            node: Rc::clone(node),
+            counter,
+        }
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        let count = (self.counter)(&self.node);
+        count.set(count.get() - 1);
+    }
+}
+
 impl State {
     /// Returns whether both the configuration and servers are loaded.
     pub(crate) fn is_loaded(&self) -> bool {
--- a/crates/gateway/src/packed.rs
+++ b/crates/gateway/src/packed.rs
@@ -21,7 +21,8 @@
 /// Smaller bodies are sent as they are, since they fit into a packet.
 const MIN_BYTES: usize = 1_024;
 
-/// Largest body from another gateway, compressed or not: the relay's log of changes and the list before it, in pages of about a megabyte.
+/// Largest body from another gateway, compressed or not: the relay's log of changes and the list before it, in pages of
+/// about a megabyte.
 pub(crate) const MAX_BYTES: usize = 32 << 20;
 
 /// The latest compressed bodies, so that a body is compressed once for all followers.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,7 +1,6 @@
 //! Pool of idle connections to servers.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,8 +12,6 @@
 use slotmap::SecondaryMap;
 use tokio::net::TcpStream;
 
-use crate::node::Node;
-
 /// Idle timeout of connections to a server that announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -102,29 +99,6 @@
     }
 }
 
-/// Counts a connection to a server for as long as it is open.
-pub(crate) struct ConnectionGuard {
-    node: Rc<Node>,
-}
-
-impl ConnectionGuard {
-    pub(crate) fn new(node: &Rc<Node>) -> ConnectionGuard {
-        node.upstream_connections
-            .set(node.upstream_connections.get() + 1);
-        ConnectionGuard {
-            node: Rc::clone(node),
-        }
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.node
-            .upstream_connections
-            .set(self.node.upstream_connections.get() - 1);
-    }
-}
-
 /// Opens a connection; `guard` is dropped when the connection has ended.
 pub(crate) async fn connect<T: 'static>(
     addr: SocketAddr,
