gateway: log and count the rate limits that servers name

Cause: the logs could not tell whether VMs know of a limit that a server names. Change: replies are read for it; two log lines and two counters. Nothing is held back yet. A reply of a server at a taken-over address (421) is left out, as it speaks for another server.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::body::BodyError;
 use crate::body::Reserved;
 use crate::body::read_body;
+use crate::named_limit::record_named_limit;
 use crate::node::CountGuard;
 use crate::node::Node;
 use crate::pool::Connection;
@@ -153,6 +154,7 @@
         None => open_connection(node, key, endpoint.addr, outgoing.repeatable).await?,
     };
     let request = build_request(node, outgoing, endpoint.id.as_str())?;
+    let sent = Instant::now();
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
@@ -182,7 +184,10 @@
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         remove_displaced(node, key);
-    } else if outgoing.repeatable {
+        return fail(Failure::NotRun, "another server has the address");
+    }
+    record_named_limit(node, &endpoint.id, &head, sent);
+    if outgoing.repeatable {
         return_connection(node, connection, key, &head.headers);
     }
     classify_reply(head.status, head.headers, body, &node.headers).map(|mut reply| {
@@ -289,7 +294,7 @@
     body: Bytes,
     names: &HeaderNames,
 ) -> Result<Reply, AttemptError> {
-    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+    if headers.contains_key(&names.not_run) {
         return fail(Failure::NotRun, "the server did not run the request");
     }
     if status.is_success() && !headers.contains_key(&names.signature) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod logging;
 mod merge;
 mod metrics;
+mod named_limit;
 mod node;
 mod pacing;
 mod packed;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,8 @@
     AttemptRetry = "attempts_retry",
     AttemptNotRun = "attempts_not_run",
     AttemptLost = "attempts_lost",
+    AttemptLimited = "attempts_to_limited_servers",
+    LimitNamed = "server_limits_named",
     DelegationSent = "delegations_sent",
     DelegationServed = "delegations_served",
     HolderLost = "holders_lost",
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -37,6 +37,8 @@
     pub target: HeaderName,
     /// Present in a reply if the server did not run the request.
     pub not_run: HeaderName,
+    /// Requests a second that a server takes from all gateways together, in the replies of a server in need.
+    pub rate_limit: HeaderName,
     /// Signatures of the parts of a merged answer.
     pub parts: HeaderName,
     /// Number of services without a part in a merged answer.
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -54,6 +54,7 @@
 mod limits;
 mod memory;
 mod pick;
+mod quota;
 mod repeat;
 mod tuning;
 
@@ -74,6 +75,9 @@
 pub use crate::limits::Permit;
 pub use crate::limits::connection_share;
 pub use crate::memory::MemoryBudget;
+pub use crate::quota::LimitChange;
+pub use crate::quota::LimitNotice;
+pub use crate::quota::RequestRate;
 pub use crate::repeat::RepeatPool;
 pub use crate::repeat::RepeatRule;
 pub use crate::tuning::Tuning;
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -27,6 +27,10 @@
 use crate::Tuning;
 use crate::budget::HedgeReserve;
 use crate::fastest::RoundTrips;
+use crate::quota::LimitChange;
+use crate::quota::LimitNotice;
+use crate::quota::Quotas;
+use crate::quota::RequestRate;
 use crate::repeat::RepeatBudgets;
 use crate::repeat::RepeatPool;
 use crate::repeat::RepeatRule;
@@ -81,6 +85,7 @@
     holder_repeats: RepeatBudgets,
     fallback_repeats: RepeatBudgets,
     pub(crate) round_trips: RoundTrips,
+    pub(crate) quotas: Quotas,
     freed_gates: VecDeque<GateKey>,
 }
 
@@ -99,6 +104,7 @@
             holder_repeats: RepeatBudgets::default(),
             fallback_repeats: RepeatBudgets::default(),
             round_trips: RoundTrips::default(),
+            quotas: Quotas::default(),
             freed_gates: VecDeque::new(),
         }
     }
@@ -268,6 +274,22 @@
         }
     }
 
+    /// Returns the limit that an upstream has named for all nodes together, if any.
+    pub fn named_rate(&self, upstream: &UpstreamId) -> Option<RequestRate> {
+        self.quotas.rate(upstream)
+    }
+
+    /// Records what the reply of an upstream to a request sent at `sent` says about its limit.
+    pub fn record_limit(
+        &mut self,
+        upstream: &UpstreamId,
+        notice: LimitNotice,
+        sent: Instant,
+        now: Instant,
+    ) -> LimitChange {
+        self.quotas.record(upstream, notice, sent, now)
+    }
+
     /// Records the index versions that an upstream reported in the reply to a request sent at `sent`.
     pub fn record_versions(&mut self, key: GateKey, versions: &[IndexVersion], sent: Instant) {
         if let Some(gate) = self.gates.get_mut(key) {
