limit, gateway: a few gateways divide the limit that a server names

Callers saw nothing, but servers in need got up to four times the requests that they had asked for: no gateway read the limit, and each sent what its own callers needed. The class of fault is a bound on a shared resource that no node knows its part of.

Change: a few senders near the server divide nine tenths of its limit, all other gateways only send a rare probe; every attempt passes the one check in Limits::acquire, so that hedges, retries and requests of holders count too. A service that no server may take any more is given up at once, with a true Retry-After.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -303,7 +303,7 @@
                     return Err("the upstream is paused after failures");
                 }
                 Err(Blocked::Unknown) => return Err("the holder does not know the upstream"),
-                Err(Blocked::Limit | Blocked::Share) => {}
+                Err(Blocked::Limit | Blocked::Share | Blocked::Quota) => {}
             }
             let _ = tokio::time::timeout(poll_interval, self.permit_released.notified()).await;
         }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,5 +1,7 @@
 //! Answers to callers: forwarded replies, refusals and errors.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
@@ -9,8 +11,11 @@
 use crate::attempt::Reply;
 use crate::attempt::remove_hop_headers;
 
-/// Value of `Retry-After` in seconds for a refused request.
-const RETRY_AFTER: &str = "0.2";
+/// Least value of `Retry-After` for a refused request.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Largest value of `Retry-After`, since servers may have room earlier than it seems.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// Response to a caller.
 pub(crate) type Answer = Response<Full<Bytes>>;
@@ -26,11 +31,19 @@
 
 /// Refuses a request that has not run and will not run, so that the caller may retry it.
 pub(crate) fn refuse(reason: &'static str) -> Answer {
+    refuse_for(MIN_RETRY_AFTER, reason)
+}
+
+/// Refuses a request like [`refuse`]; `time` is that after which servers are expected to take it.
+pub(crate) fn refuse_for(time: Duration, reason: &'static str) -> Answer {
     let mut answer = reply_error(StatusCode::SERVICE_UNAVAILABLE, reason);
-    let after = HeaderValue::from_static(RETRY_AFTER);
-    answer
-        .headers_mut()
-        .insert(http::header::RETRY_AFTER, after);
+    let time = time.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+    // A number in decimal notation is a valid header value.
+    if let Ok(after) = HeaderValue::from_str(&format!("{:.1}", time.as_secs_f64())) {
+        answer
+            .headers_mut()
+            .insert(http::header::RETRY_AFTER, after);
+    }
     answer
 }
 
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -44,6 +44,7 @@
         }
         state.pool.remove_expired(now);
         state.holder_pool.remove_expired(now);
+        state.limits.remove_old_limits(now);
     }
 }
 
@@ -166,6 +167,9 @@
                 log::info!(server = id.as_str(), service = service.as_str(), draining, change:? = change; "servers: entry updated");
             }
             close_dropped(state, change);
+            if let ServerChange::Added(_) = change {
+                state.update_quota_shares();
+            }
         }
         ObjectState::Peer(peer) => {
             log::warn!(peer = peer.node.as_str(); "peers: ignored a gateway entry outside the list of peers")
@@ -207,6 +211,7 @@
     if let ServerChange::Dropped(key) = change {
         state.metrics.count(Counter::ServerDropped);
         state.pool.remove(key);
+        state.update_quota_shares();
     }
 }
 
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -164,6 +164,20 @@
         self.endpoints.get(key)
     }
 
+    /// Returns the latest report of a server.
+    pub fn server(&self, id: &UpstreamId) -> Option<&Server> {
+        self.servers.get(id).map(|(server, _)| server)
+    }
+
+    /// Returns the availability zones of a service's servers that may receive requests.
+    pub fn zones(&self, service: &ServiceName) -> Vec<ZoneName> {
+        let is_usable = |(server, key): &&(Server, Option<GateKey>)| {
+            key.is_some() && server.service == *service
+        };
+        let usable = self.servers.values().filter(is_usable);
+        usable.map(|(server, _)| server.zone.clone()).collect()
+    }
+
     /// Returns the number of servers that may receive requests.
     pub fn len(&self) -> usize {
         self.endpoints.len()
@@ -353,7 +367,7 @@
     }
 }
 
-fn is_shard(server: &Server, table: Option<&RouteTable>) -> bool {
+pub(crate) fn is_shard(server: &Server, table: Option<&RouteTable>) -> bool {
     table.is_some_and(|table| table.is_shard(&server.service))
 }
 
--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -64,24 +64,10 @@
 impl Holders {
     /// Chooses the holders among all gateways of the zone; a small zone has none.
     pub fn set<'a>(&mut self, zone: impl Iterator<Item = &'a Peer>) {
-        let mut peers: Vec<&Peer> = zone.collect();
-        self.holders.clear();
-        if peers.len() < MIN_ZONE_SIZE {
-            return;
-        }
-        peers.sort_by(|one, other| {
-            let by_cores = cores_of(other).total_cmp(&cores_of(one));
-            by_cores.then_with(|| one.node.cmp(&other.node))
-        });
-        let total: f64 = peers.iter().map(|peer| cores_of(peer)).sum();
-        let mut chosen = 0.0;
-        for peer in peers {
-            if self.holders.len() >= MIN_HOLDERS && chosen >= total * HOLDER_FRACTION {
-                break;
-            }
-            chosen += cores_of(peer);
-            self.holders.push(peer.clone());
-        }
+        self.holders = choose_holders(zone.collect())
+            .into_iter()
+            .cloned()
+            .collect();
         let holders = &self.holders;
         self.failed
             .retain(|node, _| holders.iter().any(|holder| holder.node == *node));
@@ -115,10 +101,7 @@
         let mut assignments: Vec<Assignment> = Vec::new();
         for (index, service) in services.iter().enumerate() {
             let key = hash_key(service);
-            let best = usable
-                .iter()
-                .max_by(|one, other| score(one, key).total_cmp(&score(other, key)));
-            let holder = best.copied().filter(|holder| holder.node != *node);
+            let holder = find_best(&usable, key).filter(|holder| holder.node != *node);
             let is_same = |assignment: &&mut Assignment| {
                 assignment.holder.as_ref().map(|holder| &holder.node)
                     == holder.map(|holder| &holder.node)
@@ -189,6 +172,39 @@
     }
 }
 
+/// Chooses the holders among all gateways of a zone, those with the most processor time; a small zone has none.
+pub(crate) fn choose_holders(mut peers: Vec<&Peer>) -> Vec<&Peer> {
+    if peers.len() < MIN_ZONE_SIZE {
+        return Vec::new();
+    }
+    peers.sort_by(|one, other| {
+        let by_cores = cores_of(other).total_cmp(&cores_of(one));
+        by_cores.then_with(|| one.node.cmp(&other.node))
+    });
+    let total: f64 = peers.iter().map(|peer| cores_of(peer)).sum();
+    let mut chosen = 0.0;
+    let is_enough =
+        |count: usize, cores: f64| count >= MIN_HOLDERS && cores >= total * HOLDER_FRACTION;
+    let mut count = 0;
+    for peer in &peers {
+        if is_enough(count, chosen) {
+            break;
+        }
+        chosen += cores_of(peer);
+        count += 1;
+    }
+    peers.truncate(count);
+    peers
+}
+
+/// Returns the holder of a hashed service.
+pub(crate) fn find_best<'a>(holders: &[&'a Peer], key: u64) -> Option<&'a Peer> {
+    let best = holders
+        .iter()
+        .max_by(|one, other| score(one, key).total_cmp(&score(other, key)));
+    best.copied()
+}
+
 fn cores_of(peer: &Peer) -> f64 {
     if peer.cores > 0.0 {
         peer.cores
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,6 +60,8 @@
 pub use crate::logging::LogWriter;
 pub use crate::merge::RECORD_BYTES;
 pub use crate::merge::merge_records;
+pub use crate::named_limit::LimitedServer;
+pub use crate::named_limit::find_quota_share;
 pub use crate::pacing::Pacing;
 pub use crate::pacing::StoreRole;
 pub use crate::peers::ChangeLog;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -243,6 +243,7 @@
             .retain_services(|service| table.services.contains_key(service));
         self.table = Some(Rc::new(table));
         self.update_connection_shares();
+        self.update_quota_shares();
     }
 
     pub(crate) fn record_latency(&mut self, route: &Route, latency: Duration) {
@@ -298,6 +299,7 @@
         let senders = self.find_shard_senders();
         self.directory.set_nodes(nodes, senders);
         self.update_connection_shares();
+        self.update_quota_shares();
     }
 
     /// Returns which gateways send to the servers of shards.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -122,6 +122,11 @@
         self.known.iter().filter(move |peer| peer.zone == *zone)
     }
 
+    /// Returns all gateways, in the order of their names.
+    pub(crate) fn known(&self) -> &[Peer] {
+        &self.known
+    }
+
     /// Returns whether some zone is large enough for holders.
     pub(crate) fn has_large_zone(&self) -> bool {
         self.has_large_zone
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -23,6 +23,7 @@
 use query::GatherEnv;
 use query::GatherEvent;
 use query::GatherOutcome;
+use query::UnansweredService;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -32,7 +33,7 @@
 use crate::admit::admit;
 use crate::answer::Answer;
 use crate::answer::forward_reply;
-use crate::answer::refuse;
+use crate::answer::refuse_for;
 use crate::answer::reply_error;
 use crate::attempt::AttemptError;
 use crate::attempt::OutgoingRequest;
@@ -45,6 +46,7 @@
 use crate::holders::Assignment;
 use crate::merge::merge_records;
 use crate::metrics::Counter;
+use crate::named_limit::quota_wait;
 use crate::node::Node;
 use crate::plan::assign_services;
 use crate::plan::build_plan;
@@ -56,6 +58,9 @@
 /// Most unanswered services that a log line names.
 const MAX_LOGGED_SERVICES: usize = 4;
 
+/// Reason in the log while no attempt has failed.
+const NO_FAILURE: &str = "none";
+
 /// What happened to a request since its attempts were sent.
 pub(crate) enum Progress {
     /// An attempt of this gateway ended.
@@ -112,7 +117,7 @@
     failure: Option<Reply>,
     /// Send times of the attempts to servers in the same zone.
     sent: HashMap<AttemptId, Instant>,
-    /// Why the latest attempt failed.
+    /// Why the latest attempt failed, or [`NO_FAILURE`].
     reason: &'static str,
     revision: Revision,
     _memory: Reserved,
@@ -147,7 +152,7 @@
     guard.ended = true;
     run.report(&outcome, &gather, started);
     run.judge_holders(&assignments, &gather);
-    run.respond(outcome)
+    run.respond(outcome, &gather)
 }
 
 impl<'a> RequestRun<'a> {
@@ -166,7 +171,7 @@
             replies: HashMap::new(),
             failure: None,
             sent: HashMap::new(),
-            reason: "none",
+            reason: NO_FAILURE,
             revision: admitted.revision,
             _memory: admitted.memory,
         };
@@ -372,7 +377,16 @@
             return;
         };
         let id = self.outgoing.id.to_str().unwrap_or("?");
-        let (route, reason) = (self.route.name.as_str(), self.reason);
+        let route = self.route.name.as_str();
+        let is_limited = |service: UnansweredService| {
+            !quota_wait(&state, std::slice::from_ref(service.service)).is_zero()
+        };
+        let reason = match self.reason {
+            NO_FAILURE if gather.unanswered_services().into_iter().any(is_limited) => {
+                "the servers' own limits are used up"
+            }
+            other => other,
+        };
         let (sent, ms) = (gather.sent(), took.as_millis() as u64);
         let revision = self.revision;
         let open = describe_unanswered(gather);
@@ -380,10 +394,13 @@
         log::info!(id, route, revision, ms, sent, missing, open, reason, skipped; "request: {kind}");
     }
 
-    fn respond(mut self, outcome: GatherOutcome) -> Answer {
+    fn respond(mut self, outcome: GatherOutcome, gather: &Gather) -> Answer {
         let answer = match outcome {
             GatherOutcome::Answered { parts, missing } => self.build_answer(&parts, missing),
-            GatherOutcome::NotRun => refuse("no server could take the request"),
+            GatherOutcome::NotRun => {
+                let wait = quota_wait(&self.node.state.borrow(), &gather.plan().services);
+                refuse_for(wait, "no server could take the request")
+            }
             GatherOutcome::Failed => {
                 self.forward_failure(StatusCode::BAD_GATEWAY, "the servers failed")
             }
--- a/crates/limit/src/attempt.rs
+++ b/crates/limit/src/attempt.rs
@@ -18,6 +18,8 @@
     Limit,
     /// The connection share of this node is used up.
     Share,
+    /// The part of this node in the limit that the upstream has named is used up.
+    Quota,
     /// The upstream is paused after consecutive failures, or its single trial attempt is in flight.
     Paused,
     /// The upstream is draining.
--- a/crates/limit/src/fastest.rs
+++ b/crates/limit/src/fastest.rs
@@ -65,7 +65,7 @@
             let Some(gate) = self.gates.get(key) else {
                 continue;
             };
-            if let Err(reason) = gate.check(&self.tuning, now) {
+            if let Err(reason) = self.check(key, now) {
                 blocked = blocked.min(reason);
                 continue;
             }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -77,6 +77,7 @@
 pub use crate::memory::MemoryBudget;
 pub use crate::quota::LimitChange;
 pub use crate::quota::LimitNotice;
+pub use crate::quota::QuotaShare;
 pub use crate::quota::RequestRate;
 pub use crate::repeat::RepeatPool;
 pub use crate::repeat::RepeatRule;
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -29,6 +29,7 @@
 use crate::fastest::RoundTrips;
 use crate::quota::LimitChange;
 use crate::quota::LimitNotice;
+use crate::quota::QuotaShare;
 use crate::quota::Quotas;
 use crate::quota::RequestRate;
 use crate::repeat::RepeatBudgets;
@@ -204,6 +205,9 @@
     /// Checks whether an attempt may be sent to an upstream now, without acquiring a permit.
     pub fn check(&self, key: GateKey, now: Instant) -> Result<(), Blocked> {
         let gate = self.gates.get(key).ok_or(Blocked::Unknown)?;
+        if !self.quotas.allows(gate.id(), now) {
+            return Err(Blocked::Quota);
+        }
         gate.check(&self.tuning, now)
     }
 
@@ -213,8 +217,9 @@
     ///
     /// Returns why the attempt may not be sent now.
     pub fn acquire(&mut self, key: GateKey, now: Instant) -> Result<Permit, Blocked> {
+        self.check(key, now)?;
         let gate = self.gates.get_mut(key).ok_or(Blocked::Unknown)?;
-        gate.check(&self.tuning, now)?;
+        self.quotas.spend(gate.id(), now);
         let trial = gate.start_attempt(&self.tuning, now);
         Ok(Permit {
             key,
@@ -279,15 +284,64 @@
         self.quotas.rate(upstream)
     }
 
-    /// Records what the reply of an upstream to a request sent at `sent` says about its limit.
+    /// Returns the time since an upstream first named its limit, if it names one.
+    pub fn limit_age(&self, upstream: &UpstreamId, now: Instant) -> Option<Duration> {
+        self.quotas.age(upstream, now)
+    }
+
+    /// Returns the limits that upstreams have named.
+    pub fn named_rates(&self) -> impl Iterator<Item = (&UpstreamId, RequestRate)> {
+        self.quotas.rates()
+    }
+
+    /// Records what the reply of an upstream to a request sent at `sent` says about its limit; `share` is the part of
+    /// this node in a limit that is named.
     pub fn record_limit(
         &mut self,
         upstream: &UpstreamId,
         notice: LimitNotice,
-        sent: Instant,
-        now: Instant,
+        share: QuotaShare,
+        (sent, now): (Instant, Instant),
+        rng: &mut dyn Rng,
     ) -> LimitChange {
-        self.quotas.record(upstream, notice, sent, now)
+        match notice {
+            LimitNotice::Named(rate) => self.quotas.record_named(upstream, rate, share, now, rng),
+            LimitNotice::Unnamed => {
+                let change = self.quotas.record_unnamed(upstream, sent, now);
+                if change != LimitChange::Unchanged
+                    && let Some(&key) = self.keys.get(upstream)
+                {
+                    // All nodes notice the end of the limit at about the same time.
+                    self.start_ramp(key, now);
+                }
+                change
+            }
+        }
+    }
+
+    /// Changes the part of this node in the limit of an upstream, because the nodes that share it changed; returns
+    /// whether it was another one.
+    pub fn set_quota_share(
+        &mut self,
+        upstream: &UpstreamId,
+        share: QuotaShare,
+        now: Instant,
+        rng: &mut dyn Rng,
+    ) -> bool {
+        self.quotas.set_share(upstream, share, now, rng)
+    }
+
+    /// Returns the time until the limit of an upstream allows this node to send a request.
+    pub fn quota_wait(&self, key: GateKey, now: Instant) -> Duration {
+        self.gate(key)
+            .map_or(Duration::ZERO, |gate| self.quotas.wait(gate.id(), now))
+    }
+
+    /// Drops the limits of upstreams that were removed long ago.
+    pub fn remove_old_limits(&mut self, now: Instant) {
+        let keys = &self.keys;
+        self.quotas
+            .remove_unregistered(now, |id| keys.contains_key(id));
     }
 
     /// Records the index versions that an upstream reported in the reply to a request sent at `sent`.
--- a/crates/limit/src/pick.rs
+++ b/crates/limit/src/pick.rs
@@ -72,7 +72,7 @@
             if distance.is_some_and(|distance| distance != gate.distance) {
                 continue;
             }
-            match gate.check(&self.tuning, now) {
+            match self.check(key, now) {
                 Ok(()) => {
                     free += 1;
                     update_sample(&mut chosen, key, free, rng);
--- a/crates/query/src/bind.rs
+++ b/crates/query/src/bind.rs
@@ -167,7 +167,7 @@
             let held = limits.holds(key, version);
             let usable = !matches!(
                 limits.check(key, now),
-                Err(Blocked::Paused | Blocked::Draining | Blocked::Unknown)
+                Err(Blocked::Quota | Blocked::Paused | Blocked::Draining | Blocked::Unknown)
             );
             servable |= usable && held != Some(false);
             confirmed |= usable && held == Some(true);
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -347,12 +347,14 @@
                 .pick_fastest(untried, typical_latency, now, env.rng),
             false => Err(Blocked::Unknown),
         };
-        if kind != AttemptKind::Hedge
-            && may_run
-            && picked == Err(Blocked::Unknown)
-            && !keys.is_empty()
-        {
-            // All replicas were tried; they are tried again after a delay.
+        let may_try_again = match picked {
+            Err(Blocked::Unknown) => !keys.is_empty(),
+            // The replicas that are left may get nothing more; one that was tried may still serve the request.
+            Err(Blocked::Quota) => keys.iter().any(|&key| is_usable(env.limits, key, now)),
+            Ok(_) | Err(_) => false,
+        };
+        if kind != AttemptKind::Hedge && may_run && may_try_again {
+            // All usable replicas were tried; they are tried again after a delay.
             state.tried.clear();
             picked = Err(Blocked::Limit);
         }
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -145,7 +145,7 @@
         }
         if state.next_kind == AttemptKind::Primary {
             state.reason = match blocked {
-                Blocked::Limit | Blocked::Share => MissingReason::Limited,
+                Blocked::Limit | Blocked::Share | Blocked::Quota => MissingReason::Limited,
                 Blocked::Draining => MissingReason::Draining,
                 Blocked::Paused | Blocked::Unknown => MissingReason::NoReplica,
             };
