gateway: log and count that the store was restored from a copy

Cause: no line told which history of the store a revision belongs to. Change: Client::read returns the headers of a reply, the era in them is logged when it changes and counted. Nothing else depends on it yet.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -94,7 +94,7 @@
         let path = node
             .platform
             .stale_list_path(ObjectKind::Peers, after.as_deref());
-        let body = client.read(&path, Duration::ZERO).await?;
+        let body = client.read(&path, Duration::ZERO).await?.body;
         let batch = match node.platform.read_list(ObjectKind::Peers, &body) {
             Ok(batch) => batch,
             Err(error) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,7 @@
     DelegationServed = "delegations_served",
     HolderLost = "holders_lost",
     StoreFailed = "store_calls_failed",
+    StoreRestored = "store_restores",
     RelayLost = "relays_lost",
     ServerDropped = "servers_dropped",
     LogSkipped = "log_lines_skipped",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -32,6 +32,7 @@
 use crate::RouteTable;
 use crate::Settings;
 use crate::ShardSenders;
+use crate::StoreEra;
 use crate::holder_client::HolderPool;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
@@ -91,6 +92,8 @@
     pub(crate) change_logs: ChangeLogs,
     /// Kind and time of the latest failed call to the store, until a call succeeds.
     pub(crate) store_failure: Option<(ObjectKind, Instant)>,
+    /// Latest era of the store that a reply has shown.
+    pub(crate) store_era: Option<StoreEra>,
     /// Compressed replies to the gateways that follow this one.
     pub(crate) packed_bodies: PackedBodies,
 }
@@ -149,6 +152,7 @@
             holder_pool: HolderPool::default(),
             change_logs: ChangeLogs::default(),
             store_failure: None,
+            store_era: None,
             packed_bodies: PackedBodies::default(),
         };
         Node {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -13,6 +13,10 @@
 /// Version of the store, which increases with every change.
 pub type StoreVersion = u64;
 
+/// Number of times that the store has been restored from a copy. What was written after the copy is lost then, and its
+/// versions are given out again.
+pub type StoreEra = u64;
+
 /// A kind of object that the gateway follows in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ObjectKind {
@@ -39,6 +43,8 @@
     pub not_run: HeaderName,
     /// Requests a second that a server takes from all gateways together, in the replies of a server in need.
     pub rate_limit: HeaderName,
+    /// Era of the store in each of its replies.
+    pub store_era: HeaderName,
     /// Signatures of the parts of a merged answer.
     pub parts: HeaderName,
     /// Number of services without a part in a merged answer.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -18,6 +18,8 @@
 use crate::apply::apply_changes;
 use crate::apply::apply_objects;
 use crate::apply::apply_snapshot;
+use crate::era::read_era;
+use crate::era::record_era;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::pacing::Pacing;
@@ -353,7 +355,9 @@
         let mut pages = Vec::new();
         loop {
             let path = node.platform.list_path(kind, list.after.as_deref());
-            let body = client.read(&path, Duration::ZERO).await?;
+            let reply = client.read(&path, Duration::ZERO).await?;
+            record_era(node, kind, read_era(node, &reply.headers));
+            let body = reply.body;
             let more = list.apply_page(node, kind, &body, last_failure)?;
             pages.push(body);
             if !more {
@@ -377,7 +381,9 @@
         let (node, client, kind, last_failure) =
             (&self.node, &self.client, self.kind, self.last_failure);
         let path = node.platform.watch_path(kind, since, wait);
-        let body = client.read(&path, wait).await?;
+        let reply = client.read(&path, wait).await?;
+        record_era(node, kind, read_era(node, &reply.headers));
+        let body = reply.body;
         let batch = node.platform.read_changes(kind, &body)?;
         let changed = !batch.objects.is_empty();
         let version = batch.version.max(since);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,6 +10,7 @@
 use base::Vm;
 use bytes::Bytes;
 use compact_str::CompactString;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -124,9 +125,19 @@
 /// A complete reply, whatever its status.
 struct Reply {
     status: StatusCode,
+    headers: HeaderMap,
     body: Bytes,
 }
 
+/// A successful reply of the platform's native API.
+#[derive(Debug, Clone)]
+pub struct NativeReply {
+    /// Headers of the reply.
+    pub headers: HeaderMap,
+    /// Body of the reply, not decoded.
+    pub body: Bytes,
+}
+
 #[derive(Deserialize)]
 struct VersionOnly {
     version: Version,
@@ -231,16 +242,18 @@
         parse_body(&expect_ok(reply)?)
     }
 
-    /// Reads a path of the platform's native API and returns the raw body.
+    /// Reads a path of the platform's native API and returns the raw reply.
     ///
     /// For a long poll, `wait` is its wait time, which is added to the timeout.
-    pub async fn read(&self, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
+    pub async fn read(&self, path: &str, wait: Duration) -> Result<NativeReply, StoreError> {
         let permit = self.admit()?;
         let timeout = self.shared.timeout + wait;
         let reply = self
             .call(permit, Method::GET, path, Bytes::new(), timeout)
             .await?;
-        expect_ok(reply)
+        let headers = reply.headers.clone();
+        let body = expect_ok(reply)?;
+        Ok(NativeReply { headers, body })
     }
 
     /// Creates an object through the platform's native API; succeeds if the object already exists.
@@ -366,8 +379,8 @@
                 }
             }
         })?;
-        let status = response.status();
-        let collected = Limited::new(response.into_body(), MAX_REPLY_BYTES)
+        let (head, body) = response.into_parts();
+        let collected = Limited::new(body, MAX_REPLY_BYTES)
             .collect()
             .await
             .map_err(|error| StoreError::ReplyLost {
@@ -375,7 +388,8 @@
                 retry_after: Duration::ZERO,
             })?;
         Ok(Reply {
-            status,
+            status: head.status,
+            headers: head.headers,
             body: collected.to_bytes(),
         })
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -26,6 +26,7 @@
 pub use crate::client::ChangedObject;
 pub use crate::client::Client;
 pub use crate::client::ClientOptions;
+pub use crate::client::NativeReply;
 pub use crate::client::PutResult;
 pub use crate::client::StoredObject;
 pub use crate::client::Version;
