gateway: versions of the store have an era

Callers were served by a route as it was before: after the store was restored from a copy, some VMs never got the next configuration. Cause: gateways compare bare revisions, which a restore gives out again. A relay told a follower with the higher revision of the lost history that nothing was new, and a watch went on from a revision that the new history had passed. The class of fault: an order that is only valid within one history, used across two.

Change: StoreVersion is a pair of era and revision, compared by era first, in lists, watches, the log of a relay and what followers poll; gateways tell each other the era in a header. A reply of a later era makes a watch list again, pages of two eras are no list, and a reply or a relay of an earlier era is not used.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -13,6 +13,7 @@
 use crate::ObjectState;
 use crate::ServerChange;
 use crate::Snapshot;
+use crate::StoreEra;
 use crate::StoreVersion;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -52,10 +53,11 @@
 pub(crate) fn apply_changes(
     node: &Node,
     kind: ObjectKind,
+    era: StoreEra,
     body: &[u8],
     last_failure: Option<Instant>,
 ) -> Result<StoreVersion, DecodeError> {
-    let batch = node.platform.read_changes(kind, body)?;
+    let batch = node.platform.read_changes(kind, era, body)?;
     apply_objects(node, kind, batch.objects, last_failure);
     Ok(batch.version)
 }
@@ -64,16 +66,17 @@
 pub(crate) fn apply_snapshot(
     node: &Node,
     kind: ObjectKind,
+    era: StoreEra,
     snapshot: &Snapshot,
     last_failure: Option<Instant>,
 ) -> Result<StoreVersion, DecodeError> {
     let mut list = PagedList::default();
     for page in &snapshot.pages {
-        list.apply_page(node, kind, page, last_failure)?;
+        list.apply_page(node, kind, era, page, last_failure)?;
     }
     let mut version = list.finish(node, kind, last_failure);
     for body in &snapshot.changes {
-        version = version.max(apply_changes(node, kind, body, last_failure)?);
+        version = version.max(apply_changes(node, kind, era, body, last_failure)?);
     }
     Ok(version)
 }
@@ -92,10 +95,11 @@
         &mut self,
         node: &Node,
         kind: ObjectKind,
+        era: StoreEra,
         page: &[u8],
         last_failure: Option<Instant>,
     ) -> Result<bool, DecodeError> {
-        let batch = node.platform.read_list(kind, page)?;
+        let batch = node.platform.read_list(kind, era, page)?;
         // The watch starts at the version of the first page, so that it also returns changes made during later pages.
         self.version.get_or_insert(batch.version);
         self.after = batch.objects.last().map(|object| object.name.to_string());
@@ -135,13 +139,17 @@
 }
 
 fn apply(state: &mut State, kind: ObjectKind, object: Object, last_failure: Option<Instant>) {
+    let StoreVersion {
+        era,
+        revision: stored,
+    } = object.version;
     match object.value {
         ObjectState::Configuration(table) => {
             let known = state.table.as_ref().map(|table| table.revision);
             if known.is_some_and(|known| known >= table.revision) {
                 return;
             }
-            log::info!(revision = table.revision, before:? = known, routes = table.len(); "configuration: in force");
+            log::info!(revision = table.revision, before:? = known, routes = table.len(), era, stored; "configuration: in force");
             for error in table.find_errors().iter().take(MAX_LOGGED_ERRORS) {
                 log::warn!(revision = table.revision, reason = error.as_str(); "configuration: invalid route");
             }
@@ -164,7 +172,7 @@
                 state.settled_at.get_or_insert(Instant::now() + SETTLE_TIME);
             }
             if change != ServerChange::Unchanged {
-                log::info!(server = id.as_str(), service = service.as_str(), draining, change:? = change; "servers: entry updated");
+                log::info!(server = id.as_str(), service = service.as_str(), draining, change:? = change, era, stored; "servers: entry updated");
             }
             close_dropped(state, change);
             if let ServerChange::Added(_) = change {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -10,6 +10,7 @@
 use crate::ObjectKind;
 use crate::ObjectState;
 use crate::Peer;
+use crate::era::check_era;
 use crate::node::Node;
 use crate::relay::fetch_from_seeds;
 
@@ -94,15 +95,14 @@
         let path = node
             .platform
             .stale_list_path(ObjectKind::Peers, after.as_deref());
-        let body = client.read(&path, Duration::ZERO).await?.body;
-        let batch = match node.platform.read_list(ObjectKind::Peers, &body) {
-            Ok(batch) => batch,
-            Err(error) => {
-                return Err(StoreError::Invalid {
-                    reason: error.to_string(),
-                });
-            }
-        };
+        let reply = client.read(&path, Duration::ZERO).await?;
+        let invalid = |reason: String| StoreError::Invalid { reason };
+        let era = check_era(node, ObjectKind::Peers, &reply)
+            .map_err(|_| invalid("it is from before a restore".to_owned()))?;
+        let batch = node
+            .platform
+            .read_list(ObjectKind::Peers, era, &reply.body)
+            .map_err(|error| invalid(error.to_string()))?;
         after = batch.objects.last().map(|object| object.name.to_string());
         for object in batch.objects {
             match object.value {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -78,6 +78,7 @@
 pub use crate::platform::ObjectState;
 pub use crate::platform::Platform;
 pub use crate::platform::StoreEra;
+pub use crate::platform::StoreRevision;
 pub use crate::platform::StoreVersion;
 pub use crate::run::StartError;
 pub use crate::run::run_gateway;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use bytes::BytesMut;
 
 use crate::ObjectKind;
+use crate::StoreEra;
 use crate::StoreVersion;
 use crate::holders::MIN_ZONE_SIZE;
 use crate::pacing::StoreRole;
@@ -206,15 +207,16 @@
 /// Result of a peer's poll of a relay for the changes after a store version.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PollResult {
-    /// Changes after that version, in the format of the store.
-    Changes(Bytes),
-    /// All objects, because the relay no longer has the changes after that version or the peer has just started.
-    Snapshot(Snapshot),
+    /// Changes after that version, in the format of the store, and the era in which they were read.
+    Changes(StoreEra, Bytes),
+    /// All objects, because the relay no longer has the changes after that version, the store was restored, or the peer
+    /// has just started.
+    Snapshot(StoreEra, Snapshot),
     /// There are no changes after that version.
     UpToDate,
     /// The relay has just started, or has just turned to the store, and has no reply yet.
     Starting,
-    /// The relay has lost the store, polls another relay itself, or lacks the changes.
+    /// The relay has lost the store, polls another relay itself, lacks the changes, or knows an earlier era only.
     Disconnected,
     /// The call to the relay failed or timed out.
     Unresponsive,
@@ -357,28 +359,34 @@
             Contact::Waiting => return PollResult::Starting,
             Contact::Connected => {}
         }
+        if since.is_some_and(|since| since.era > base.era) {
+            return PollResult::Disconnected;
+        }
         let Some(since) = since.filter(|since| *since >= base) else {
-            return self.build_snapshot();
+            return self.build_snapshot(base.era);
         };
         match self.entries.iter().find(|entry| entry.version > since) {
-            Some(entry) => PollResult::Changes(entry.body.clone()),
+            Some(entry) => PollResult::Changes(base.era, entry.body.clone()),
             None => PollResult::UpToDate,
         }
     }
 
     /// Returns all objects, or [`PollResult::Disconnected`] once the pages of the list were dropped.
-    fn build_snapshot(&self) -> PollResult {
+    fn build_snapshot(&self, era: StoreEra) -> PollResult {
         if self.pages.is_empty() {
             return PollResult::Disconnected;
         }
-        PollResult::Snapshot(Snapshot {
+        let changes = self.entries.iter().map(|entry| entry.body.clone());
+        let snapshot = Snapshot {
             pages: self.pages.clone(),
-            changes: self
-                .entries
-                .iter()
-                .map(|entry| entry.body.clone())
-                .collect(),
-        })
+            changes: changes.collect(),
+        };
+        PollResult::Snapshot(era, snapshot)
+    }
+
+    /// Returns the era of the store that the log belongs to.
+    pub(crate) fn era(&self) -> Option<StoreEra> {
+        self.base.map(|base| base.era)
     }
 }
 
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -10,13 +10,22 @@
 use crate::RouteTable;
 use crate::Server;
 
-/// Version of the store, which increases with every change.
-pub type StoreVersion = u64;
-
 /// Number of times that the store has been restored from a copy. What was written after the copy is lost then, and its
 /// versions are given out again.
 pub type StoreEra = u64;
 
+/// Number that increases with every change of the store, within one era.
+pub type StoreRevision = u64;
+
+/// Version of the store. A later era is newer whatever the revision, since revisions go back with a restore.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreVersion {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Revision within that era.
+    pub revision: StoreRevision,
+}
+
 /// A kind of object that the gateway follows in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ObjectKind {
@@ -71,6 +80,8 @@
 pub struct Object {
     /// Name within its kind.
     pub name: CompactString,
+    /// Version of its last change, in the era of the reply that shows it.
+    pub version: StoreVersion,
     /// State of the object.
     pub value: ObjectState,
 }
@@ -109,19 +120,25 @@
     fn build_registration(&self, peer: &Peer) -> (String, String);
 
     /// Returns the path of a call that waits for changes of a kind after a version.
-    fn watch_path(&self, kind: ObjectKind, since: StoreVersion, wait: Duration) -> String;
+    fn watch_path(&self, kind: ObjectKind, since: StoreRevision, wait: Duration) -> String;
 
     /// Decodes the reply to a list call.
     ///
     /// # Errors
     ///
     /// Returns an error if the whole reply is invalid; a single invalid object is an [`ObjectState::Unreadable`].
-    fn read_list(&self, kind: ObjectKind, body: &[u8]) -> Result<Batch, DecodeError>;
+    fn read_list(&self, kind: ObjectKind, era: StoreEra, body: &[u8])
+    -> Result<Batch, DecodeError>;
 
     /// Decodes the reply to a watch call.
     ///
     /// # Errors
     ///
     /// Returns an error if the whole reply is invalid; a single invalid object is an [`ObjectState::Unreadable`].
-    fn read_changes(&self, kind: ObjectKind, body: &[u8]) -> Result<Batch, DecodeError>;
+    fn read_changes(
+        &self,
+        kind: ObjectKind,
+        era: StoreEra,
+        body: &[u8],
+    ) -> Result<Batch, DecodeError>;
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use http::StatusCode;
 use http::header::ACCEPT_ENCODING;
 use http::header::CONTENT_ENCODING;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
@@ -25,9 +26,13 @@
 use crate::Peers;
 use crate::PollResult;
 use crate::Snapshot;
+use crate::StoreEra;
+use crate::StoreRevision;
 use crate::StoreVersion;
 use crate::accept::serve_connections;
 use crate::delegation::HEADER;
+use crate::era::ERA_HEADER;
+use crate::era::parse_era;
 use crate::holder::answer_delegated;
 use crate::node::Node;
 use crate::packed::ENCODING;
@@ -91,12 +96,17 @@
                 opened.await.ok()?.ok()?
             }
         };
-        let (status, body) = fetch(&mut connection, &poll_path(kind, since)).await?;
+        let known = since.map(|since| since.era);
+        let (head, body) = fetch(&mut connection, &poll_path(kind, since), known).await?;
         self.connection = Some((addr, connection));
-        match status {
-            StatusCode::OK => Some(PollResult::Changes(body)),
+        // A relay of an older build doesn't know of eras.
+        let era = parse_era(&head.headers, ERA_HEADER)
+            .or(known)
+            .unwrap_or_default();
+        match head.status {
+            StatusCode::OK => Some(PollResult::Changes(era, body)),
             StatusCode::NO_CONTENT => Some(PollResult::UpToDate),
-            StatusCode::ACCEPTED => Snapshot::decode(body).map(PollResult::Snapshot),
+            StatusCode::ACCEPTED => Some(PollResult::Snapshot(era, Snapshot::decode(body)?)),
             _ => Some(PollResult::Disconnected),
         }
     }
@@ -116,17 +126,24 @@
 
 async fn fetch_from_seed(seed: SocketAddr) -> Option<Vec<Peer>> {
     let mut connection = connect(seed, ()).await.ok()?;
-    let (_, body) = fetch(&mut connection, PEERS_PATH).await?;
+    let (_, body) = fetch(&mut connection, PEERS_PATH, None).await?;
     Some(Peers::decode(std::str::from_utf8(&body).ok()?))
 }
 
 /// Sends one GET request; a failure has no detail, since callers treat all failures alike.
-async fn fetch(connection: &mut Connection, path: &str) -> Option<(StatusCode, Bytes)> {
+async fn fetch(
+    connection: &mut Connection,
+    path: &str,
+    era: Option<StoreEra>,
+) -> Option<(Parts, Bytes)> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().ok()?;
     request
         .headers_mut()
         .insert(ACCEPT_ENCODING, HeaderValue::from_static(ENCODING));
+    if let Some(era) = era {
+        request.headers_mut().insert(ERA_HEADER, era.into());
+    }
     let response = connection.sender.send_request(request).await.ok()?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_BYTES).collect().await.ok()?;
@@ -134,7 +151,7 @@
         Some(_) => unpack(&body.to_bytes())?,
         None => body.to_bytes(),
     };
-    Some((head.status, body))
+    Some((head, body))
 }
 
 /// Serves requests of other gateways until the process ends.
@@ -159,25 +176,21 @@
         return reply(StatusCode::OK, peers.into());
     }
     let parsed = parse_path(path).filter(|_| request.method() == Method::GET);
-    let Some((kind, since)) = parsed else {
+    let Some((kind, revision)) = parsed else {
         return reply(StatusCode::BAD_REQUEST, Bytes::new());
     };
+    let known = parse_era(request.headers(), ERA_HEADER);
     let end = tokio::time::Instant::now() + POLL_TIMEOUT;
     loop {
         let changed = node.store_changed.notified();
-        let result = node
-            .state
-            .borrow_mut()
-            .change_logs
-            .get_mut(kind)
-            .map_or(PollResult::Disconnected, |log| log.read_since(since));
+        let result = read_changes(node, kind, revision, known);
         match result {
-            PollResult::Changes(body) => {
-                return reply_packed(node, request, kind, StatusCode::OK, body);
+            PollResult::Changes(era, body) => {
+                return reply_packed(node, request, (kind, era), StatusCode::OK, body);
             }
-            PollResult::Snapshot(snapshot) => {
+            PollResult::Snapshot(era, snapshot) => {
                 let body = snapshot.encode();
-                return reply_packed(node, request, kind, StatusCode::ACCEPTED, body);
+                return reply_packed(node, request, (kind, era), StatusCode::ACCEPTED, body);
             }
             PollResult::Disconnected | PollResult::Unresponsive => {
                 return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
@@ -194,8 +207,36 @@
     }
 }
 
-/// Replies with a compressed body to a gateway that can read one.
+/// Returns the changes after a revision; a follower of an older build names no era, and means that of the relay.
+fn read_changes(
+    node: &Node,
+    kind: ObjectKind,
+    revision: Option<StoreRevision>,
+    era: Option<StoreEra>,
+) -> PollResult {
+    let mut state = node.state.borrow_mut();
+    let Some(log) = state.change_logs.get_mut(kind) else {
+        return PollResult::Disconnected;
+    };
+    let era = era.or(log.era()).unwrap_or_default();
+    log.read_since(revision.map(|revision| StoreVersion { era, revision }))
+}
+
+/// Replies with changes of an era of the store.
 fn reply_packed(
+    node: &Node,
+    request: &Request<Incoming>,
+    (kind, era): (ObjectKind, StoreEra),
+    status: StatusCode,
+    body: Bytes,
+) -> Response<Full<Bytes>> {
+    let mut response = pack_reply(node, request, kind, status, body);
+    response.headers_mut().insert(ERA_HEADER, era.into());
+    response
+}
+
+/// Replies with a compressed body to a gateway that can read one.
+fn pack_reply(
     node: &Node,
     request: &Request<Incoming>,
     kind: ObjectKind,
@@ -235,12 +276,12 @@
         ObjectKind::Peers => "peers",
     };
     match since {
-        Some(since) => format!("/{kind}/{since}"),
+        Some(since) => format!("/{kind}/{}", since.revision),
         None => format!("/{kind}/all"),
     }
 }
 
-fn parse_path(path: &str) -> Option<(ObjectKind, Option<StoreVersion>)> {
+fn parse_path(path: &str) -> Option<(ObjectKind, Option<StoreRevision>)> {
     let (kind, since) = path.strip_prefix('/')?.split_once('/')?;
     let kind = match kind {
         "configuration" => ObjectKind::Configuration,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -18,7 +18,9 @@
 use crate::apply::apply_changes;
 use crate::apply::apply_objects;
 use crate::apply::apply_snapshot;
-use crate::era::read_era;
+use crate::era::OutdatedReply;
+use crate::era::check_era;
+use crate::era::is_outdated;
 use crate::era::record_era;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -252,6 +254,11 @@
                 self.failures = 0;
                 self.since = None;
             }
+            Err(StoreFailure::Restored) => {
+                log::info!(kind:? = self.kind, since:? = self.since; "store: restored since the last call; listing all objects again");
+                self.failures = 0;
+                self.since = None;
+            }
             Err(StoreFailure::Failed(reason)) => {
                 log::warn!(kind:? = self.kind, since:? = self.since, reason = reason.as_str(); "store: call failed");
                 self.record_failure(began.elapsed(), is_connected);
@@ -312,13 +319,16 @@
 
     /// Polls a relay and applies its reply; returns the store version reached.
     async fn poll_relay(&mut self, relay: &Peer) -> Result<StoreVersion, RelayError> {
-        let (kind, since, last_failure) = (self.kind, self.since, self.last_failure);
-        let node = &self.node;
+        let (kind, since) = (self.kind, self.since);
         let result = self.relay_client.poll(relay.addr, kind, since).await;
+        let result = self.check_relayed(result);
+        let (node, last_failure) = (&self.node, self.last_failure);
         let applied = match &result {
             PollResult::UpToDate => return since.ok_or(RelayError::Disconnected),
-            PollResult::Changes(body) => apply_changes(node, kind, body, last_failure),
-            PollResult::Snapshot(snapshot) => apply_snapshot(node, kind, snapshot, last_failure),
+            PollResult::Changes(era, body) => apply_changes(node, kind, *era, body, last_failure),
+            PollResult::Snapshot(era, snapshot) => {
+                apply_snapshot(node, kind, *era, snapshot, last_failure)
+            }
             PollResult::Starting | PollResult::Disconnected | PollResult::Unresponsive => {
                 let reason = if result == PollResult::Unresponsive {
                     "silent"
@@ -347,24 +357,40 @@
         }
     }
 
+    /// Records the era of a relay's reply; a relay that has not noticed a restore yet can't supply the changes.
+    fn check_relayed(&self, result: PollResult) -> PollResult {
+        match &result {
+            PollResult::Changes(era, _) | PollResult::Snapshot(era, _) => {
+                if is_outdated(&self.node, *era) {
+                    return PollResult::Disconnected;
+                }
+                record_era(&self.node, self.kind, *era);
+                result
+            }
+            _ => result,
+        }
+    }
+
     /// Lists all objects; returns the version from which to watch, and `false` so that the watch starts without delay.
     async fn list(&self) -> Result<(StoreVersion, bool), StoreFailure> {
-        let (node, client, kind, last_failure) =
-            (&self.node, &self.client, self.kind, self.last_failure);
+        let (node, client, kind) = (&self.node, &self.client, self.kind);
         let mut list = PagedList::default();
         let mut pages = Vec::new();
+        let mut first_era = None;
         loop {
             let path = node.platform.list_path(kind, list.after.as_deref());
             let reply = client.read(&path, Duration::ZERO).await?;
-            record_era(node, kind, read_era(node, &reply.headers));
-            let body = reply.body;
-            let more = list.apply_page(node, kind, &body, last_failure)?;
-            pages.push(body);
+            let era = check_era(node, kind, &reply)?;
+            if era != *first_era.get_or_insert(era) {
+                return Err(StoreFailure::Restored);
+            }
+            let more = list.apply_page(node, kind, era, &reply.body, self.last_failure)?;
+            pages.push(reply.body);
             if !more {
                 break;
             }
         }
-        let version = list.finish(node, kind, last_failure);
+        let version = list.finish(node, kind, self.last_failure);
         if let Some(log) = node.state.borrow_mut().change_logs.get_mut(kind) {
             log.reset(version, pages);
         }
@@ -378,16 +404,18 @@
         since: StoreVersion,
         wait: Duration,
     ) -> Result<(StoreVersion, bool), StoreFailure> {
-        let (node, client, kind, last_failure) =
-            (&self.node, &self.client, self.kind, self.last_failure);
-        let path = node.platform.watch_path(kind, since, wait);
+        let (node, client, kind) = (&self.node, &self.client, self.kind);
+        let path = node.platform.watch_path(kind, since.revision, wait);
         let reply = client.read(&path, wait).await?;
-        record_era(node, kind, read_era(node, &reply.headers));
+        let era = check_era(node, kind, &reply)?;
+        if era != since.era {
+            return Err(StoreFailure::Restored);
+        }
         let body = reply.body;
-        let batch = node.platform.read_changes(kind, &body)?;
+        let batch = node.platform.read_changes(kind, era, &body)?;
         let changed = !batch.objects.is_empty();
         let version = batch.version.max(since);
-        apply_objects(node, kind, batch.objects, last_failure);
+        apply_objects(node, kind, batch.objects, self.last_failure);
         if let Some(log) = node.state.borrow_mut().change_logs.get_mut(kind) {
             log.append(version, changed.then_some(body));
         }
@@ -411,9 +439,17 @@
 enum StoreFailure {
     /// The store no longer keeps the changes since the last call.
     HistoryExpired,
+    /// The store was restored since the last call, so that the versions known no longer mean anything.
+    Restored,
     Failed(String),
 }
 
+impl From<OutdatedReply> for StoreFailure {
+    fn from(_: OutdatedReply) -> StoreFailure {
+        StoreFailure::Failed("the reply is from before a restore of the store".to_owned())
+    }
+}
+
 impl From<DecodeError> for StoreFailure {
     fn from(error: DecodeError) -> StoreFailure {
         StoreFailure::Failed(error.to_string())
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -10,7 +10,10 @@
 use gateway::Peers;
 use gateway::PollResult;
 use gateway::Snapshot;
+use gateway::StoreEra;
+use gateway::StoreRevision;
 use gateway::StoreRole;
+use gateway::StoreVersion;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -39,6 +42,12 @@
     Some(relay.node.to_string())
 }
 
+const ERA: StoreEra = 3;
+
+fn at(revision: StoreRevision) -> StoreVersion {
+    StoreVersion { era: ERA, revision }
+}
+
 fn body(text: &'static str) -> Bytes {
     Bytes::from_static(text.as_bytes())
 }
@@ -165,52 +174,92 @@
 #[test]
 fn peer_gets_every_change_after_its_version() {
     let mut log = ChangeLog::default();
-    assert_eq!(log.read_since(Some(10)), PollResult::Starting);
-    log.reset(10, vec![body("page")]);
-    log.append(12, Some(body("to 12")));
-    log.append(15, None);
-    log.append(20, Some(body("to 20")));
-    assert_eq!(log.read_since(Some(10)), PollResult::Changes(body("to 12")));
+    assert_eq!(log.read_since(Some(at(10))), PollResult::Starting);
+    log.reset(at(10), vec![body("page")]);
+    log.append(at(12), Some(body("to 12")));
+    log.append(at(15), None);
+    log.append(at(20), Some(body("to 20")));
+    assert_eq!(
+        log.read_since(Some(at(10))),
+        PollResult::Changes(ERA, body("to 12"))
+    );
     for since in 12..20 {
         assert_eq!(
-            log.read_since(Some(since)),
-            PollResult::Changes(body("to 20"))
+            log.read_since(Some(at(since))),
+            PollResult::Changes(ERA, body("to 20"))
         );
     }
-    assert_eq!(log.read_since(Some(20)), PollResult::UpToDate);
-    assert_eq!(log.read_since(Some(25)), PollResult::UpToDate);
+    assert_eq!(log.read_since(Some(at(20))), PollResult::UpToDate);
+    assert_eq!(log.read_since(Some(at(25))), PollResult::UpToDate);
 }
 
 /// Guards against a peer that has just started, or lags too far behind, and misses objects from before the log.
 #[test]
 fn lagging_peer_gets_a_snapshot() {
     let mut log = ChangeLog::default();
-    log.reset(10, vec![body("page")]);
-    log.append(12, Some(body("to 12")));
-    let expected = PollResult::Snapshot(Snapshot {
-        pages: vec![body("page")],
-        changes: vec![body("to 12")],
-    });
-    assert_eq!(log.read_since(Some(9)), expected);
+    log.reset(at(10), vec![body("page")]);
+    log.append(at(12), Some(body("to 12")));
+    let expected = PollResult::Snapshot(
+        ERA,
+        Snapshot {
+            pages: vec![body("page")],
+            changes: vec![body("to 12")],
+        },
+    );
+    assert_eq!(log.read_since(Some(at(9))), expected);
     assert_eq!(log.read_since(None), expected);
-    for at in 13..200 {
-        log.append(at, Some(body("more")));
+    for revision in 13..200 {
+        log.append(at(revision), Some(body("more")));
     }
     assert_eq!(log.read_since(None), PollResult::Disconnected);
-    assert_eq!(log.read_since(Some(12)), PollResult::Disconnected);
+    assert_eq!(log.read_since(Some(at(12))), PollResult::Disconnected);
+}
+
+/// Guards against a follower that is told that nothing is new, because its version of an earlier era has the higher
+/// revision, and against one that takes changes from a relay which has not noticed the restore.
+#[test]
+fn revisions_of_different_eras_are_not_compared() {
+    let mut log = ChangeLog::default();
+    log.reset(at(10), vec![body("page")]);
+    log.append(at(12), Some(body("to 12")));
+    let before = StoreVersion {
+        era: ERA - 1,
+        revision: 90,
+    };
+    assert!(matches!(
+        log.read_since(Some(before)),
+        PollResult::Snapshot(ERA, _)
+    ));
+    let after = StoreVersion {
+        era: ERA + 1,
+        revision: 11,
+    };
+    assert_eq!(log.read_since(Some(after)), PollResult::Disconnected);
+    log.reset(
+        StoreVersion {
+            era: ERA + 1,
+            revision: 4,
+        },
+        vec![body("restored")],
+    );
+    assert!(matches!(
+        log.read_since(Some(at(12))),
+        PollResult::Snapshot(4, _)
+    ));
+    assert_eq!(log.read_since(Some(after)), PollResult::UpToDate);
 }
 
 /// Guards against a relay that reports no changes though it has lost the store or polls another relay.
 #[test]
 fn disconnected_relay_says_so() {
     let mut log = ChangeLog::default();
-    log.reset(10, vec![body("page")]);
+    log.reset(at(10), vec![body("page")]);
     log.mark_disconnected();
-    assert_eq!(log.read_since(Some(10)), PollResult::Disconnected);
-    log.append(11, None);
-    assert_eq!(log.read_since(Some(10)), PollResult::UpToDate);
-    log.reset_relayed(12);
-    assert_eq!(log.read_since(Some(12)), PollResult::Disconnected);
+    assert_eq!(log.read_since(Some(at(10))), PollResult::Disconnected);
+    log.append(at(11), None);
+    assert_eq!(log.read_since(Some(at(10))), PollResult::UpToDate);
+    log.reset_relayed(at(12));
+    assert_eq!(log.read_since(Some(at(12))), PollResult::Disconnected);
 }
 
 /// Guards against followers that all call the store because the gateway that replaces their relay has only just called
@@ -218,16 +267,19 @@
 #[test]
 fn followers_wait_for_the_first_call_of_a_relay() {
     let mut log = ChangeLog::default();
-    log.reset_relayed(10);
+    log.reset_relayed(at(10));
     log.mark_waiting();
     assert!(!log.is_connected());
-    assert_eq!(log.read_since(Some(10)), PollResult::Starting);
-    log.append(12, Some(body("to 12")));
+    assert_eq!(log.read_since(Some(at(10))), PollResult::Starting);
+    log.append(at(12), Some(body("to 12")));
     assert!(log.is_connected());
-    assert_eq!(log.read_since(Some(10)), PollResult::Changes(body("to 12")));
+    assert_eq!(
+        log.read_since(Some(at(10))),
+        PollResult::Changes(ERA, body("to 12"))
+    );
     log.mark_waiting();
     log.mark_disconnected();
-    assert_eq!(log.read_since(Some(10)), PollResult::Disconnected);
+    assert_eq!(log.read_since(Some(at(10))), PollResult::Disconnected);
 }
 
 /// Guards against a list from a seed that decodes to other peers, and against a malformed line that hides the others.
