directory: a restore of the store brings no server back that has left

Cause: a copy of the store shows the entry of a server that has left since, as ready, and the gateway took it for a new one: requests went to a server that drains or is gone. Found while listing what remembers that something was removed. Change: the last report of a removed server is remembered for 5 minutes; a report of the copy is ignored unless it is a later one or was written again at another revision.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -207,7 +207,7 @@
         log::info!(server = id.as_str(); "servers: entry expired during a store outage; removal deferred");
         return;
     }
-    let change = state.directory.remove(id, &mut state.limits);
+    let change = state.directory.remove(id, now, &mut state.limits);
     if change != ServerChange::Unchanged {
         log::info!(server = id.as_str(); "servers: removed");
     }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -16,6 +16,7 @@
 
 use crate::RouteTable;
 use crate::Settings;
+use crate::StoreRevision;
 
 /// Start time of a server in Unix milliseconds; a server that restarts under the same id has a later one.
 pub type StartMillis = u64;
@@ -23,6 +24,10 @@
 /// Time that a server whose entry expired during an outage of the store has to register again.
 const REMOVAL_DELAY: Duration = Duration::from_millis(2_200);
 
+/// Time for which the last report of a removed server is remembered; longer than a copy is old to which the store is
+/// restored.
+const REMOVED_TIME: Duration = Duration::from_secs(300);
+
 /// Number of gateways that is assumed until the real number is known.
 pub const ASSUMED_NODES: u32 = 18;
 
@@ -68,6 +73,8 @@
     pub start_ms: Option<StartMillis>,
     /// Sequence number of this report, which increases within one run.
     pub sequence: u64,
+    /// Revision of the store at which this report was written.
+    pub revision: StoreRevision,
 }
 
 impl Server {
@@ -76,6 +83,18 @@
         (other.start_ms, other.sequence) < (self.start_ms, self.sequence)
     }
 
+    /// Returns whether this report is one that was written before `last`, the last one before the server's entry was
+    /// removed, or `last` itself: after a restore, the store shows it again.
+    ///
+    /// A server that registers again may repeat what it reported, but at another revision.
+    fn is_copy_of(&self, last: &Server) -> bool {
+        let (own, known) = (
+            (self.start_ms, self.sequence),
+            (last.start_ms, last.sequence),
+        );
+        own < known || (own == known && self.revision == last.revision)
+    }
+
     fn is_same_run(&self, other: &Server) -> bool {
         self.start_ms == other.start_ms && self.addr == other.addr && self.service == other.service
     }
@@ -115,6 +134,8 @@
     /// Gates of each service's servers that may receive requests.
     replicas: HashMap<ServiceName, Vec<GateKey>>,
     endpoints: SecondaryMap<GateKey, Endpoint>,
+    /// Last reports of the servers that were removed, with the time of the removal.
+    removed: HashMap<UpstreamId, (Server, Instant)>,
     /// Servers whose removal is deferred, with the time at which they are removed.
     expiring: HashMap<UpstreamId, Instant>,
     /// Number of gateways that share the servers of each zone.
@@ -201,6 +222,12 @@
         table: Option<&RouteTable>,
         limits: &mut Limits,
     ) -> ServerChange {
+        if let Some((last, _)) = self.removed.get(&server.id) {
+            if server.is_copy_of(last) {
+                return ServerChange::Stale;
+            }
+            self.removed.remove(&server.id);
+        }
         self.expiring.remove(&server.id);
         let known = self.servers.get(&server.id);
         if known.is_some_and(|(known, _)| known.is_newer(&server)) {
@@ -253,15 +280,19 @@
     }
 
     /// Removes a server that is no longer registered.
-    pub fn remove(&mut self, id: &UpstreamId, limits: &mut Limits) -> ServerChange {
+    pub fn remove(&mut self, id: &UpstreamId, now: Instant, limits: &mut Limits) -> ServerChange {
         self.expiring.remove(id);
         self.displaced.remove(id);
-        match self.servers.remove(id) {
-            Some((_, Some(key))) => {
+        let Some((last, key)) = self.servers.remove(id) else {
+            return ServerChange::Unchanged;
+        };
+        self.removed.insert(id.clone(), (last, now));
+        match key {
+            Some(key) => {
                 self.drop_gate(id, key, limits);
                 ServerChange::Dropped(key)
             }
-            Some((_, None)) | None => ServerChange::Unchanged,
+            None => ServerChange::Unchanged,
         }
     }
 
@@ -280,6 +311,8 @@
         now: Instant,
         limits: &mut Limits,
     ) -> Vec<(UpstreamId, ServerChange)> {
+        self.removed
+            .retain(|_, (_, removed)| now.saturating_duration_since(*removed) < REMOVED_TIME);
         let due: Vec<UpstreamId> = self
             .expiring
             .iter()
@@ -288,7 +321,7 @@
             .collect();
         due.into_iter()
             .map(|id| {
-                let change = self.remove(&id, limits);
+                let change = self.remove(&id, now, limits);
                 (id, change)
             })
             .collect()
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -18,6 +18,7 @@
 use limit::Limits;
 use limit::RepeatRule;
 use limit::Tuning;
+use rstest::rstest;
 
 struct Rig {
     directory: Directory,
@@ -78,6 +79,7 @@
         draining: false,
         start_ms: Some(1_000),
         sequence,
+        revision: 7,
     }
 }
 
@@ -195,12 +197,34 @@
     let mut rig = Rig::new();
     rig.update(server(1));
     assert!(matches!(
-        rig.directory.remove(&"i-1".into(), &mut rig.limits),
+        rig.directory
+            .remove(&"i-1".into(), Instant::now(), &mut rig.limits),
         ServerChange::Dropped(_)
     ));
     assert!(rig.directory.is_empty());
 }
 
+/// Guards against requests to a server that has left, because a restore of the store shows an earlier report again; and
+/// against a server that stays unused although it registers again.
+#[rstest]
+#[case::last_report(server(5), false)]
+#[case::earlier_report(server(4), false)]
+#[case::earlier_run(Server { start_ms: Some(900), ..server(9) }, false)]
+#[case::without_start_time(Server { start_ms: None, ..server(9) }, false)]
+#[case::registered_again(Server { revision: 8, ..server(5) }, true)]
+#[case::later_report(server(6), true)]
+#[case::later_run(Server { start_ms: Some(1_100), ..server(1) }, true)]
+fn report_from_before_a_removal_is_ignored(#[case] report: Server, #[case] is_used: bool) {
+    let mut rig = Rig::new();
+    rig.update(server(5));
+    let now = Instant::now();
+    rig.directory.remove(&"i-1".into(), now, &mut rig.limits);
+    rig.directory
+        .remove_expired(now + Duration::from_secs(60), &mut rig.limits);
+    let change = rig.update(report);
+    assert_eq!(rig.count_usable("one"), usize::from(is_used), "{change:?}");
+}
+
 /// Returns a configuration with the services `shard`, a shard of a query, and `single`, each with servers that accept
 /// 195 connections.
 fn create_table() -> RouteTable {
