sync: servers that a restored store lacks stay in use until they register again

Cause: a server that registered after the copy is missing in the list after a restore, and followers of a relay, which had seen no failed call, dropped it at once.

--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -2,6 +2,8 @@
 //!
 //! See docs/decisions/0009-store-restores.md.
 
+use std::time::Instant;
+
 use http::HeaderMap;
 use store::NativeReply;
 
@@ -57,6 +59,8 @@
         Some(before) if era <= before => return,
         Some(before) => {
             state.metrics.count(Counter::StoreRestored);
+            state.restored_at = Some(Instant::now());
+            node.store_restored.notify_one();
             log::warn!(kind:? = kind, era, before; "store: restored from a copy; what was written after it may be lost");
         }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -94,6 +94,8 @@
     pub(crate) store_failure: Option<(ObjectKind, Instant)>,
     /// Latest era of the store that a reply has shown.
     pub(crate) store_era: Option<StoreEra>,
+    /// Time at which this gateway noticed the latest restore of the store.
+    pub(crate) restored_at: Option<Instant>,
     /// Compressed replies to the gateways that follow this one.
     pub(crate) packed_bodies: PackedBodies,
 }
@@ -110,6 +112,8 @@
     pub(crate) loaded: Notify,
     /// Wakes tasks that wait for the first list of other gateways.
     pub(crate) peers_listed: Notify,
+    /// Wakes the task that registers this gateway, after a restore of the store.
+    pub(crate) store_restored: Notify,
     /// Number of open connections of callers.
     pub(crate) caller_connections: Cell<usize>,
     /// Number of requests in progress for which this gateway is a holder.
@@ -153,6 +157,7 @@
             change_logs: ChangeLogs::default(),
             store_failure: None,
             store_era: None,
+            restored_at: None,
             packed_bodies: PackedBodies::default(),
         };
         Node {
@@ -163,6 +168,7 @@
             store_changed: Notify::new(),
             loaded: Notify::new(),
             peers_listed: Notify::new(),
+            store_restored: Notify::new(),
             caller_connections: Cell::new(0),
             delegations: Cell::new(0),
             upstream_connections: Cell::new(0),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -322,7 +322,7 @@
         let (kind, since) = (self.kind, self.since);
         let result = self.relay_client.poll(relay.addr, kind, since).await;
         let result = self.check_relayed(result);
-        let (node, last_failure) = (&self.node, self.last_failure);
+        let (node, last_failure) = (&self.node, self.last_doubt());
         let applied = match &result {
             PollResult::UpToDate => return since.ok_or(RelayError::Disconnected),
             PollResult::Changes(era, body) => apply_changes(node, kind, *era, body, last_failure),
@@ -371,6 +371,12 @@
         }
     }
 
+    /// Returns the latest time at which entries may have been lost without their servers: that of a failed call, or of a
+    /// restore.
+    fn last_doubt(&self) -> Option<Instant> {
+        self.last_failure.max(self.node.state.borrow().restored_at)
+    }
+
     /// Lists all objects; returns the version from which to watch, and `false` so that the watch starts without delay.
     async fn list(&self) -> Result<(StoreVersion, bool), StoreFailure> {
         let (node, client, kind) = (&self.node, &self.client, self.kind);
@@ -384,13 +390,13 @@
             if era != *first_era.get_or_insert(era) {
                 return Err(StoreFailure::Restored);
             }
-            let more = list.apply_page(node, kind, era, &reply.body, self.last_failure)?;
+            let more = list.apply_page(node, kind, era, &reply.body, self.last_doubt())?;
             pages.push(reply.body);
             if !more {
                 break;
             }
         }
-        let version = list.finish(node, kind, self.last_failure);
+        let version = list.finish(node, kind, self.last_doubt());
         if let Some(log) = node.state.borrow_mut().change_logs.get_mut(kind) {
             log.reset(version, pages);
         }
@@ -415,7 +421,7 @@
         let batch = node.platform.read_changes(kind, era, &body)?;
         let changed = !batch.objects.is_empty();
         let version = batch.version.max(since);
-        apply_objects(node, kind, batch.objects, self.last_failure);
+        apply_objects(node, kind, batch.objects, self.last_doubt());
         if let Some(log) = node.state.borrow_mut().change_logs.get_mut(kind) {
             log.append(version, changed.then_some(body));
         }
