discovery: register again at once after a restore of the store

Cause: the registration of a gateway that started after the copy is lost, and it looked only every 12 s; and a list in which others are missing was taken at once. Change: a restore wakes the task, which lists and registers; for 2 s no list replaces the known gateways.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt;
 use store::Client;
@@ -23,6 +24,9 @@
 /// Delay before the next list after a failed one, for instance when all gateways have started together.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time after a restore of the store in which gateways register again; a shorter list is not believed until then.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// Registers this gateway and lists the others, until the process ends.
 pub(crate) async fn discover_peers(node: Rc<Node>, client: Client) {
     let own = {
@@ -37,8 +41,12 @@
     loop {
         let delay = match list_peers(&node, &client).await {
             Ok(peers) if peers.iter().any(|peer| peer.is_same(&own)) => {
-                update_peers(&node, peers);
-                LIST_INTERVAL
+                if is_settling(&node) {
+                    RETRY_INTERVAL
+                } else {
+                    update_peers(&node, peers);
+                    LIST_INTERVAL
+                }
             }
             Ok(peers) => {
                 register(&node, &client, &own).await;
@@ -57,10 +65,22 @@
             }
         };
         let jitter = node.state.borrow_mut().rng.random::<f64>();
-        tokio::time::sleep(delay.mul_f64(1.0 + jitter / 4.0)).await;
+        let delay = delay.mul_f64(1.0 + jitter / 4.0);
+        let restored = node.store_restored.notified();
+        if tokio::time::timeout(delay, restored).await.is_ok() {
+            // The restore may have lost the entry of this gateway.
+            tokio::time::sleep(REGISTER_DELAY.mul_f64(jitter)).await;
+        }
     }
 }
 
+/// Returns whether gateways whose entries a restore of the store has lost may be about to register again.
+fn is_settling(node: &Node) -> bool {
+    let state = node.state.borrow();
+    let is_recent = |restored: Instant| restored.elapsed() < SETTLE_TIME;
+    !state.peers.is_empty() && state.restored_at.is_some_and(is_recent)
+}
+
 /// Gets the list of gateways from a seed, if the store can't be read at the start.
 async fn query_seeds(node: &Node) {
     let seeds = node.state.borrow().settings.seeds.clone();
