store: versions of limpetwick's own interface have an era too

A VM took an index that was written after a restore of the platform for an old one, a watch waited at a version that no longer existed, and an update could be applied on a base whose version had been given out again. Change: the client puts the era that the platform names into the upper bits of each version; an update based on an earlier era is a conflict, a watch from one begins anew.

--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -144,3 +144,35 @@
         assert!(matches!(put, PutResult::Refused(_)), "{put:?}");
     }
 }
+
+/// Guards against a version of the lost history that is taken to be newer than one after a restore: a watch that misses
+/// what is written then, and an update on a base that no longer exists.
+#[tokio::test]
+async fn test_versions_of_different_eras_are_not_compared() {
+    let (platform, client) = start_platform().await;
+    let _ = client.put_if("index", "a", 0, &1).await;
+    let copy = platform.copy();
+    for name in ["b", "c", "d"] {
+        let _ = client.put_if("index", name, 0, &2).await;
+    }
+    let watched = client.watch::<u32>("index", 0, Duration::ZERO).await;
+    let before = watched.unwrap().version;
+    platform.restore(copy);
+    let PutResult::Applied(written) = client.put_if("index", "b", 0, &3).await else {
+        panic!("not applied");
+    };
+    assert!(written > before, "{written} after {before}");
+    let changes = client.watch::<u32>("index", before, WAIT_TIMEOUT).await;
+    let changes = changes.unwrap();
+    let names: Vec<&str> = changes
+        .objects
+        .iter()
+        .map(|object| object.name.as_str())
+        .collect();
+    assert_eq!(names, ["a", "b"]);
+    assert!(changes.version > before);
+    // Version 2 has been given out again, for another object.
+    let stale = client.put_if("index", "b", before - 2, &4).await;
+    assert!(matches!(stale, PutResult::Conflict(_)), "{stale:?}");
+    platform.close().await.unwrap();
+}
--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -4,8 +4,10 @@
 
 use base::Code;
 use bytes::Bytes;
+use decl::Catalogue;
 use decl::Declaration;
 use decl::Prefer;
+use entry::Entry;
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -20,6 +22,7 @@
 use lab::deploy::build_skiasis;
 use lab::fault::Fault;
 use lab::rig::Rig;
+use lab::rig::write_object;
 
 const SEED: u64 = 11;
 
@@ -202,3 +205,77 @@
     }
     rig.stop().await.unwrap();
 }
+
+/// Waits until a state holds on every entry VM.
+async fn wait_on_every_vm(rig: &Rig, holds: impl Fn(&Entry) -> bool) {
+    let waiting = async {
+        while !rig.entries.iter().all(&holds) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, waiting)
+        .await
+        .expect("the state was not reached in time");
+}
+
+/// Guards against an index that is written after a restore of the platform and ignored, because its version is lower than
+/// one of the lost history.
+#[tokio::test(flavor = "multi_thread")]
+async fn index_written_after_a_restore_is_used() {
+    let rig = Rig::start(keep_index(build_skiasis(SEED), "registry", 100), 3, SEED)
+        .await
+        .unwrap();
+    let mut index = rig.deployment.indexes[0].state.clone();
+    let copy = rig.platform.copy();
+    for slots in 11..15 {
+        index.upstreams[0].slots = slots;
+        write_object(&rig.store, "index", "registry", &index)
+            .await
+            .unwrap();
+    }
+    let has_slots = |entry: &Entry, slots: u32| {
+        let known = entry.node().index("registry");
+        known.is_some_and(|known| known.upstreams[0].slots == slots)
+    };
+    wait_on_every_vm(&rig, |entry| has_slots(entry, 14)).await;
+    rig.platform.restore(copy);
+    index.upstreams[0].slots = 21;
+    write_object(&rig.store, "index", "registry", &index)
+        .await
+        .unwrap();
+    wait_on_every_vm(&rig, |entry| has_slots(entry, 21)).await;
+    rig.stop().await.unwrap();
+}
+
+/// Guards against a catalogue that is published after a restore of the platform and never in force, because VMs know a
+/// higher revision of the lost history.
+#[tokio::test(flavor = "multi_thread")]
+async fn catalogue_published_after_a_restore_is_in_force() {
+    let rig = Rig::start(keep_index(build_skiasis(SEED), "registry", 100), 3, SEED)
+        .await
+        .unwrap();
+    let mut catalogue = Catalogue::clone(&rig.entries[0].node().catalogue().unwrap());
+    let copy = rig.platform.copy();
+    for revision in 2..6 {
+        catalogue.revision = revision;
+        catalogue.publish = "lost".into();
+        write_object(&rig.store, "config", "catalogue", &catalogue)
+            .await
+            .unwrap();
+    }
+    wait_on_every_vm(&rig, |entry| entry.node().revision() == 5).await;
+    rig.platform.restore(copy);
+    catalogue.revision = 2;
+    catalogue.publish = "after".into();
+    write_object(&rig.store, "config", "catalogue", &catalogue)
+        .await
+        .unwrap();
+    let is_in_force = |entry: &Entry| {
+        entry
+            .node()
+            .catalogue()
+            .is_some_and(|known| known.publish == "after")
+    };
+    wait_on_every_vm(&rig, is_in_force).await;
+    rig.stop().await.unwrap();
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -31,8 +31,13 @@
 use crate::GovernorOptions;
 use crate::Permit;
 use crate::StoreError;
+use crate::era::Era;
+use crate::era::KnownEra;
+use crate::era::join_version;
+use crate::era::read_era;
+use crate::era::split_version;
 
-/// Version of an object; all objects of the platform share one increasing sequence.
+/// Version of an object; all objects of the platform share one increasing sequence, also across restores of the platform.
 pub type Version = u64;
 
 /// Largest reply body that is read: a watch may return all 64 ledger objects of up to 512 KB at once.
@@ -119,6 +124,7 @@
     http: HttpClient<HttpConnector, Full<Bytes>>,
     platform: SocketAddr,
     timeout: Duration,
+    era: KnownEra,
     governor: Mutex<(Governor, Pcg64)>,
 }
 
@@ -156,6 +162,7 @@
                 http,
                 platform: options.platform,
                 timeout: options.timeout,
+                era: KnownEra::default(),
                 governor: Mutex::new((governor, Pcg64::seed_from_u64(options.seed))),
             }),
         }
@@ -183,10 +190,13 @@
         let reply = self
             .call(permit, Method::GET, &path, Bytes::new(), timeout)
             .await?;
+        let era = self.check_era(&reply)?;
         if reply.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        parse_body(&expect_ok(reply)?).map(Some)
+        let mut stored: StoredObject<T> = parse_body(&expect_ok(reply)?)?;
+        stored.version = join_version(era, stored.version);
+        Ok(Some(stored))
     }
 
     /// Writes an object if it still has the given version; version zero creates it.
@@ -199,13 +209,24 @@
         if_version: Version,
         value: &T,
     ) -> PutResult {
-        let reply = match self.send_update(kind, name, if_version, value).await {
+        let known = self.shared.era.get();
+        let (era, number) = split_version(if_version);
+        if number > 0 && era < known {
+            // The number may have been given out again, for another value than the one that the update is based on.
+            return PutResult::Conflict(join_version(known, 0));
+        }
+        let reply = match self.send_update(kind, name, number, value).await {
             Ok(reply) => reply,
             Err(error) if error.not_processed() => return PutResult::Refused(error),
             Err(error) => return PutResult::Unknown(error),
         };
         let status = reply.status;
-        let version = parse_body::<VersionOnly>(&reply.body).map(|body| body.version);
+        let era = match self.check_era(&reply) {
+            Ok(era) => era,
+            Err(error) => return PutResult::Unknown(error),
+        };
+        let version =
+            parse_body::<VersionOnly>(&reply.body).map(|body| join_version(era, body.version));
         match version {
             Ok(version) if status.is_success() => PutResult::Applied(version),
             Ok(version) if status == StatusCode::CONFLICT => PutResult::Conflict(version),
@@ -228,18 +249,58 @@
         after: Version,
         wait: Duration,
     ) -> Result<WatchResult<T>, StoreError> {
+        let (era, number) = split_version(after);
+        let is_restored = |current: Era| number > 0 && era < current;
+        if !is_restored(self.shared.era.get()) {
+            let (current, result) = self.watch_number(kind, number, wait).await?;
+            if !is_restored(current) {
+                return Ok(result);
+            }
+        }
+        // The number belongs to a history that is lost, so that all objects may have changed.
+        let (_, result) = self.watch_number(kind, 0, Duration::ZERO).await?;
+        Ok(result)
+    }
+
+    /// Watches from a number of the platform's current era; returns that era too.
+    async fn watch_number<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        number: u64,
+        wait: Duration,
+    ) -> Result<(Era, WatchResult<T>), StoreError> {
         let permit = self.admit()?;
         let wait = if permit.is_trial() {
             Duration::ZERO
         } else {
             wait
         };
-        let path = format!("/objects/{kind}?after={after}&wait_ms={}", wait.as_millis());
+        let path = format!(
+            "/objects/{kind}?after={number}&wait_ms={}",
+            wait.as_millis()
+        );
         let timeout = wait + self.shared.timeout;
         let reply = self
             .call(permit, Method::GET, &path, Bytes::new(), timeout)
             .await?;
-        parse_body(&expect_ok(reply)?)
+        let era = self.check_era(&reply)?;
+        let mut result: WatchResult<T> = parse_body(&expect_ok(reply)?)?;
+        result.version = join_version(era, result.version);
+        for object in &mut result.objects {
+            object.version = join_version(era, object.version);
+        }
+        Ok((era, result))
+    }
+
+    /// Records the era of a reply; one from before a restore that this client knows of is not used.
+    fn check_era(&self, reply: &Reply) -> Result<Era, StoreError> {
+        let era = read_era(&reply.headers);
+        if self.shared.era.record(era) {
+            return Err(StoreError::Invalid {
+                reason: "it is from before a restore".to_owned(),
+            });
+        }
+        Ok(era)
     }
 
     /// Reads a path of the platform's native API and returns the raw reply.
@@ -283,14 +344,14 @@
         &self,
         kind: &str,
         name: &str,
-        if_version: Version,
+        if_number: u64,
         value: &T,
     ) -> Result<Reply, StoreError> {
         let body = serde_json::to_vec(value).map_err(|error| StoreError::Unwritable {
             reason: error.to_string(),
         })?;
         let permit = self.admit()?;
-        let path = format!("/objects/{kind}/{name}?if_version={if_version}");
+        let path = format!("/objects/{kind}/{name}?if_version={if_number}");
         let timeout = self.shared.timeout;
         self.call(permit, Method::PUT, &path, body.into(), timeout)
             .await
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 
 mod client;
+mod era;
 mod error;
 mod governor;
 
@@ -31,6 +32,7 @@
 pub use crate::client::StoredObject;
 pub use crate::client::Version;
 pub use crate::client::WatchResult;
+pub use crate::era::ERA_HEADER;
 pub use crate::error::StoreError;
 pub use crate::governor::Denied;
 pub use crate::governor::Governor;
