--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -28,10 +28,11 @@
     let value = reply.headers.get(name);
     let era = parse_era(&reply.headers, name);
     if value.is_some() && era.is_none() {
-        log::warn!(kind:? = kind, value:? = value; "store: the era is not a number; taken as 0");
+        log::warn!(kind:? = kind, value:? = value; "store: ignored an era that is not a number");
     }
-    // A store that states no era was never restored.
-    let era = era.unwrap_or_default();
+    // A reply without an era says nothing about a restore.
+    let known = node.state.borrow().store_era;
+    let era = era.or(known).unwrap_or_default();
     if is_outdated(node, era) {
         log::warn!(kind:? = kind, era; "store: ignored a reply from before the restore");
         return Err(OutdatedReply);
--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -183,14 +183,9 @@
     });
     let total: f64 = peers.iter().map(|peer| cores_of(peer)).sum();
     let mut chosen = 0.0;
-    let is_enough =
-        |count: usize, cores: f64| count >= MIN_HOLDERS && cores >= total * HOLDER_FRACTION;
     let mut count = 0;
-    for peer in &peers {
-        if is_enough(count, chosen) {
-            break;
-        }
-        chosen += cores_of(peer);
+    while count < peers.len() && (count < MIN_HOLDERS || chosen < total * HOLDER_FRACTION) {
+        chosen += cores_of(peers[count]);
         count += 1;
     }
     peers.truncate(count);
--- a/crates/gateway/src/named_limit.rs
+++ b/crates/gateway/src/named_limit.rs
@@ -34,12 +34,15 @@
 /// Records what the head of a server's complete reply says about the server's limit.
 pub(crate) fn record_named_limit(node: &Node, server: &UpstreamId, head: &Parts, sent: Instant) {
     let names = &node.headers;
+    let mut state = node.state.borrow_mut();
     let is_signed = head.status.is_success() && head.headers.contains_key(&names.signature);
     let notice = match head.headers.get(&names.rate_limit) {
         Some(value) => match parse_rate(value) {
             Some(rate) => LimitNotice::Named(rate),
             None => {
-                log::warn!(server = server.as_str(), value:? = value; "servers: ignored a limit that is not a rate");
+                if let Some(skipped) = state.allow_log_line("limit ignored") {
+                    log::warn!(server = server.as_str(), value:? = value, skipped; "servers: ignored a limit that is not a rate");
+                }
                 return;
             }
         },
@@ -47,7 +50,7 @@
         None if is_signed => LimitNotice::Unnamed,
         None => return,
     };
-    node.state.borrow_mut().apply_limit(server, notice, sent);
+    state.apply_limit(server, notice, sent);
 }
 
 /// Parses a decimal number of requests a second.
@@ -158,6 +161,26 @@
     }
 }
 
+fn log_change(
+    server: &UpstreamId,
+    change: LimitChange,
+    notice: LimitNotice,
+    share: QuotaShare,
+    skipped: u64,
+) {
+    let id = server.as_str();
+    match (change, notice) {
+        (LimitChange::Named { before }, LimitNotice::Named(rate)) => {
+            log::info!(server = id, rate, before:?, share:?, skipped; "servers: named a limit for all gateways");
+        }
+        (LimitChange::Ended { before, lasted }, _) => {
+            let seconds = lasted.as_secs_f64();
+            log::info!(server = id, before, seconds, skipped; "servers: names no limit any more");
+        }
+        (LimitChange::Named { .. } | LimitChange::Unchanged, _) => {}
+    }
+}
+
 impl State {
     fn apply_limit(&mut self, server: &UpstreamId, notice: LimitNotice, sent: Instant) {
         let share = match notice {
@@ -174,17 +197,15 @@
         let change = self
             .limits
             .record_limit(server, notice, share, times, &mut self.rng);
-        let id = server.as_str();
-        match (change, self.limits.named_rate(server)) {
-            (LimitChange::Named { before }, Some(rate)) => {
-                self.metrics.count(Counter::LimitNamed);
-                log::info!(server = id, rate, before:?, share:?; "servers: named a limit for all gateways");
-            }
-            (LimitChange::Ended { before, lasted }, _) => {
-                let seconds = lasted.as_secs_f64();
-                log::info!(server = id, before, seconds; "servers: names no limit any more");
-            }
-            (LimitChange::Named { .. } | LimitChange::Unchanged, _) => {}
+        if change == LimitChange::Unchanged {
+            return;
+        }
+        if let LimitChange::Named { .. } = change {
+            self.metrics.count(Counter::LimitNamed);
+        }
+        // A server may name its limit in some replies only.
+        if let Some(skipped) = self.allow_log_line("limit changed") {
+            log_change(server, change, notice, share, skipped);
         }
     }
 
