--- a/crates/limpetwick/tests/requests.rs
+++ b/crates/limpetwick/tests/requests.rs
@@ -37,7 +37,8 @@
         shard.unwrap().id
     };
     let path = "agents-ticino/requests/search";
-    assert_eq!(call(&rig, path, tagged(true)).await["code"], 100);
+    let answer = call(&rig, path, tagged(true)).await;
+    assert_eq!(answer["code"], 100, "{answer}");
     for shard in [tagged(false), 99] {
         let answer = call(&rig, path, shard).await;
         assert_eq!(answer["code"], 502, "{answer}");
