gateway: log and count connections that end during a request, with the request's fingerprint

Cause: the logs can't tell one request that crashes servers from servers that crash for another reason, since they name neither the request nor the server whose connection ended. Change: the line 'servers: a connection ended during a request' (id, fingerprint, server), the counter attempts_broken, and Failure::Broken for this end alone; Failure::Lost keeps replies that are invalid or dropped here. Decisions don't change.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -49,4 +49,5 @@
 pub use crate::message::UpstreamState;
 pub use crate::rank::hash_candidate;
 pub use crate::rank::hash_key;
+pub use crate::rank::hash_parts;
 pub use crate::rank::rank_candidates;
--- a/crates/base/src/rank.rs
+++ b/crates/base/src/rank.rs
@@ -1,5 +1,6 @@
-//! Rendezvous hashing, which lets nodes agree on assignments without coordination.
+//! Hashing: of keys and candidates, so that nodes agree on assignments without coordination, and of byte strings.
 
+use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -27,3 +28,13 @@
     ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.as_ref().cmp(b.1.as_ref())));
     ranked.into_iter().map(|(_, candidate)| candidate).collect()
 }
+
+/// Hashes a sequence of byte strings; the bounds between them count, so that moving a byte changes the hash.
+pub fn hash_parts(parts: &[&[u8]]) -> u128 {
+    let mut hasher = Xxh3::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest128()
+}
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -8,6 +8,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
+use http::Uri;
 use hyper::body::Incoming;
 
 use crate::Route;
@@ -20,6 +21,7 @@
 use crate::body::BodyError;
 use crate::body::Reserved;
 use crate::body::read_body;
+use crate::fingerprint::Fingerprint;
 use crate::metrics::Counter;
 use crate::node::Node;
 
@@ -82,10 +84,12 @@
     let objective = arrived + route.objective.saturating_sub(spent + ANSWER_MARGIN);
     remove_hop_headers(&mut head.headers);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let uri = path
+    let uri: Uri = path
         .parse()
         .map_err(|_| reply_error(StatusCode::BAD_REQUEST, "the path is not valid"))?;
+    let fingerprint = Fingerprint::of_request(&head.method, &uri, &head.headers, &body);
     let outgoing = OutgoingRequest {
+        fingerprint,
         method: head.method,
         uri,
         headers: head.headers,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,8 @@
 use crate::body::BodyError;
 use crate::body::Reserved;
 use crate::body::read_body;
+use crate::fingerprint::Fingerprint;
+use crate::metrics::Counter;
 use crate::named_limit::record_named_limit;
 use crate::node::CountGuard;
 use crate::node::Node;
@@ -48,6 +50,8 @@
     pub(crate) body: Bytes,
     /// Value of the caller's request id header.
     pub(crate) id: HeaderValue,
+    /// What the request has in common with the caller's other tries of it.
+    pub(crate) fingerprint: Fingerprint,
     /// Whether the request may run more than once.
     pub(crate) repeatable: bool,
     pub(crate) deadline: Instant,
@@ -126,6 +130,11 @@
         permit: Some(permit),
     };
     let result = exchange(&node, &outgoing, key).await;
+    if let Err(error) = &result
+        && error.failure == Failure::Broken
+    {
+        report_broken(&node, &outgoing, key);
+    }
     guard.release(match &result {
         Ok(reply) if reply.is_failure => AttemptOutcome::Failed,
         Ok(_) => AttemptOutcome::Replied,
@@ -134,12 +143,27 @@
             Failure::NotRun => AttemptOutcome::Shed,
             Failure::Refused => AttemptOutcome::Refused,
             Failure::Retired(_) => AttemptOutcome::Rejected,
-            Failure::Unreachable | Failure::Lost => AttemptOutcome::Failed,
+            Failure::Unreachable | Failure::Broken | Failure::Lost => AttemptOutcome::Failed,
         },
     });
     result
 }
 
+/// Counts and logs a connection that ended during a request; a request that crashes servers shows by the same
+/// fingerprint at several of them.
+fn report_broken(node: &Node, outgoing: &OutgoingRequest, key: GateKey) {
+    let mut state = node.state.borrow_mut();
+    state.metrics.count(Counter::AttemptBroken);
+    let Some(skipped) = state.allow_log_line("broken") else {
+        return;
+    };
+    let endpoint = state.directory.endpoint(key);
+    let server = endpoint.map_or("?", |endpoint| endpoint.id.as_str());
+    let id = outgoing.id.to_str().unwrap_or("?");
+    let fingerprint = outgoing.fingerprint;
+    log::info!(id, fingerprint:% = fingerprint, server, skipped; "servers: a connection ended during a request");
+}
+
 async fn exchange(
     node: &Rc<Node>,
     outgoing: &OutgoingRequest,
@@ -163,7 +187,7 @@
                     Failure::Unreachable,
                     "the connection closed before the request was sent",
                 ),
-                None => fail(Failure::Lost, "the connection closed before the reply"),
+                None => fail(Failure::Broken, "the connection closed before the reply"),
             };
         }
     };
@@ -172,7 +196,7 @@
     let body = match read_body(body, MAX_REPLY_BYTES, &mut memory).await {
         Ok(body) => body,
         Err(BodyError::Broken) => {
-            return fail(Failure::Lost, "the connection closed within the reply");
+            return fail(Failure::Broken, "the connection closed within the reply");
         }
         Err(BodyError::TooLarge) => return fail(Failure::Lost, "the reply is too large"),
         Err(BodyError::NoMemory) => return fail(Failure::Lost, "no memory left for the reply"),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,7 @@
     AttemptRetry = "attempts_retry",
     AttemptNotRun = "attempts_not_run",
     AttemptLost = "attempts_lost",
+    AttemptBroken = "attempts_broken",
     AttemptLimited = "attempts_to_limited_servers",
     LimitNamed = "server_limits_named",
     DelegationSent = "delegations_sent",
--- a/crates/query/src/attempt.rs
+++ b/crates/query/src/attempt.rs
@@ -73,7 +73,10 @@
     Unreachable,
     /// The upstream rejected the index version or the map before running; it lists the versions that it holds.
     Retired(Vec<IndexVersion>),
-    /// The connection broke or the reply was invalid; the request may have run.
+    /// The connection ended after the request was sent and before the reply was complete, as when the upstream crashes;
+    /// the request may have run.
+    Broken,
+    /// The reply was invalid or was dropped here; the request may have run.
     Lost,
 }
 
@@ -82,7 +85,7 @@
     pub fn proves_not_run(&self) -> bool {
         match self {
             Failure::NotRun | Failure::Refused | Failure::Unreachable | Failure::Retired(_) => true,
-            Failure::Lost => false,
+            Failure::Broken | Failure::Lost => false,
         }
     }
 }
--- a/crates/query/src/machine.rs
+++ b/crates/query/src/machine.rs
@@ -256,7 +256,7 @@
             Failure::Refused => (AttemptOutcome::Refused, MissingReason::Limited),
             Failure::Unreachable => (AttemptOutcome::Failed, MissingReason::NoReplica),
             Failure::Retired(_) => (AttemptOutcome::Rejected, MissingReason::Retired),
-            Failure::Lost => (AttemptOutcome::Failed, MissingReason::Lost),
+            Failure::Broken | Failure::Lost => (AttemptOutcome::Failed, MissingReason::Lost),
         };
         env.limits.release(permit, outcome, now);
         self.remove_outstanding(shard, id);
