gateway, query, suspect: a request that crashes servers is tried carefully, then blocked at all gateways

Cause: each attempt was treated for itself, so that shards, hedges, retries, holders and the caller's next try at another VM handed it on. Change: the crate suspect holds which requests are suspected; a request under which a connection ended goes to one server at a time until one replies, and is blocked after three losses one after the other. Gateways push such facts to each other (gateway::facts) and exchange them as long as any holds; without facts nothing is sent. A query without any reply is hedged at one shard only. Answer: 502, code 405.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -84,6 +84,8 @@
     DuplicateUnknown = 403,
     /// The claim could not be settled, so the request may have run.
     ClaimUnsettled = 404,
+    /// Servers that ran the request crashed, so it is not sent again for a time.
+    CrashesServers = 405,
     /// No service of this name is declared.
     UnknownService = 500,
     /// The service declares no request of this name.
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -95,6 +95,9 @@
     let Some(delegation) = delegation else {
         return refuse_other_route(node, &admitted).map(Either::Left);
     };
+    if node.facts.is_blocked(admitted.outgoing.fingerprint) {
+        return refuse("the request crashes servers").map(Either::Left);
+    }
     admitted.outgoing.headers.remove(HEADER);
     node.state
         .borrow_mut()
@@ -151,6 +154,8 @@
             // The asking gateway decides how many parts are enough.
             required: 0,
             repeatable: admitted.route.repeatable,
+            // The asking gateway sends a request that is suspected of crashing servers itself.
+            careful: false,
             delegated: Vec::new(),
             pool: RepeatPool::Holder,
             max_runs: admitted.route.max_runs,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod directory;
 mod discovery;
 mod era;
+mod facts;
 mod fingerprint;
 mod holder;
 mod holder_client;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     RequestFailed = "requests_failed",
     RequestTimedOut = "requests_timed_out",
     RequestNoRoute = "requests_without_route",
+    RequestBlocked = "requests_blocked",
+    BlockFound = "requests_found_to_crash_servers",
     RequestAbandoned = "requests_left_by_caller",
     RequestNoMemory = "requests_without_memory",
     CallerRefused = "connections_refused",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,6 +33,7 @@
 use crate::Settings;
 use crate::ShardSenders;
 use crate::StoreEra;
+use crate::facts::Facts;
 use crate::holder_client::HolderPool;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
@@ -106,6 +107,8 @@
     pub(crate) headers: HeaderNames,
     pub(crate) platform: Box<dyn Platform>,
     pub(crate) stopping: Cell<bool>,
+    /// Facts that the gateways tell each other.
+    pub(crate) facts: Rc<Facts>,
     /// Wakes long polls of peers when objects change or the store is lost.
     pub(crate) store_changed: Notify,
     /// Wakes requests that wait for the first configuration and servers.
@@ -136,6 +139,7 @@
             },
         );
         limits.set_repeat_rule(RepeatPool::Shared, settings.repeats);
+        let facts = Facts::new(settings.node.clone(), seed);
         let state = State {
             directory: Directory::new(),
             memory: MemoryBudget::new(settings.memory_bytes / MEMORY_DIVISOR),
@@ -165,6 +169,7 @@
             headers: platform.headers(),
             platform,
             stopping: Cell::new(false),
+            facts: Rc::new(facts),
             store_changed: Notify::new(),
             loaded: Notify::new(),
             peers_listed: Notify::new(),
@@ -182,6 +187,14 @@
         (max_fds.saturating_sub(RESERVED_FDS) / 2) as usize
     }
 
+    /// Returns the other gateways.
+    pub(crate) fn other_peers(&self) -> Vec<Peer> {
+        let state = self.state.borrow();
+        let is_other = |peer: &&Peer| peer.node != state.settings.node;
+        let known = state.peers.known().iter();
+        known.filter(is_other).cloned().collect()
+    }
+
     /// Returns whether the load balancer should send new connections here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.state.borrow().is_loaded()
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -30,6 +30,7 @@
     node: &Node,
     admitted: &AdmittedRequest,
     assignments: &[Assignment],
+    careful: bool,
 ) -> GatherPlan {
     let mut state = node.state.borrow_mut();
     let route = &admitted.route;
@@ -51,6 +52,7 @@
         services,
         required,
         repeatable: route.repeatable,
+        careful,
         delegated: assignments
             .iter()
             .filter(|assignment| assignment.holder.is_some())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,6 +33,8 @@
 use crate::accept::serve_connections;
 use crate::delegation::HEADER;
 use crate::era::ERA_HEADER;
+use crate::facts::FACTS_PATH;
+use crate::facts::answer_facts;
 use crate::holder::answer_delegated;
 use crate::node::Node;
 use crate::packed::ENCODING;
@@ -162,6 +164,9 @@
             if request.headers().contains_key(HEADER) {
                 return answer_delegated(&node, request).await;
             }
+            if request.uri().path() == FACTS_PATH {
+                return answer_facts(&node.facts, request).await.map(Either::Left);
+            }
             answer_peer(&node, &request).await.map(Either::Left)
         }
     })
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,7 +7,9 @@
 use std::time::Instant;
 
 use base::AttemptId;
+use base::Code;
 use base::Revision;
+use base::UpstreamId;
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
@@ -24,6 +26,8 @@
 use query::GatherEvent;
 use query::GatherOutcome;
 use query::UnansweredService;
+use suspect::BlockInfo;
+use suspect::Verdict;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -58,6 +62,10 @@
 /// Most unanswered services that a log line names.
 const MAX_LOGGED_SERVICES: usize = 4;
 
+/// Answer to a request that crashes servers, and reason in the log.
+const CRASHES_SERVERS: &str =
+    "servers that ran this request crashed; it is not sent again for a time (code 405)";
+
 /// Reason in the log while no attempt has failed.
 const NO_FAILURE: &str = "none";
 
@@ -117,6 +125,8 @@
     failure: Option<Reply>,
     /// Send times of the attempts to servers in the same zone.
     sent: HashMap<AttemptId, Instant>,
+    /// Servers of the attempts.
+    servers: HashMap<AttemptId, UpstreamId>,
     /// Why the latest attempt failed, or [`NO_FAILURE`].
     reason: &'static str,
     revision: Revision,
@@ -126,8 +136,20 @@
 async fn run(node: &Rc<Node>, admitted: AdmittedRequest) -> Answer {
     let started = Instant::now();
     let mut guard = AbandonGuard { node, ended: false };
-    let assignments = assign_services(node, &admitted.route);
-    let mut gather = Gather::new(build_plan(node, &admitted, &assignments));
+    let careful = match node.facts.check(admitted.outgoing.fingerprint) {
+        Verdict::Clear => false,
+        Verdict::Careful => true,
+        Verdict::Blocked(block) => {
+            guard.ended = true;
+            return refuse_deadly(node, &admitted, &block);
+        }
+    };
+    let assignments = match careful {
+        // Holders don't know how far this gateway has come with it.
+        true => Vec::new(),
+        false => assign_services(node, &admitted.route),
+    };
+    let mut gather = Gather::new(build_plan(node, &admitted, &assignments, careful));
     let (mut run, mut received) = RequestRun::new(node, admitted);
     let mut outcome = run.apply_event(&mut gather, GatherEvent::Start);
     if outcome.is_none() {
@@ -171,6 +193,7 @@
             replies: HashMap::new(),
             failure: None,
             sent: HashMap::new(),
+            servers: HashMap::new(),
             reason: NO_FAILURE,
             revision: admitted.revision,
             _memory: admitted.memory,
@@ -211,6 +234,7 @@
         gather: &mut Gather,
         event: GatherEvent,
     ) -> Option<GatherOutcome> {
+        let event = self.check_event(gather, event);
         let now = Instant::now();
         let actions = {
             let mut guard = self.node.state.borrow_mut();
@@ -239,6 +263,34 @@
         outcome
     }
 
+    /// Records what an event shows about the request; one that crashes servers is given up.
+    fn check_event(&mut self, gather: &Gather, event: GatherEvent) -> GatherEvent {
+        let facts = &self.node.facts;
+        let fingerprint = self.outgoing.fingerprint;
+        match &event {
+            GatherEvent::Replied(_) | GatherEvent::Delivered(..) => facts.record_reply(fingerprint),
+            GatherEvent::Failed(id, Failure::Broken) if gather.is_evidence(*id) => {
+                let server = self.servers.get(id).cloned().unwrap_or_default();
+                let repeatable = self.outgoing.repeatable;
+                let block = facts.record_broken(fingerprint, &server, repeatable);
+                if let Some(block) = block {
+                    report_blocked(self.node, &self.outgoing, &block);
+                }
+            }
+            GatherEvent::Failed(_, Failure::Broken) if !gather.has_replies() => {
+                facts.record_more_broken(fingerprint);
+            }
+            _ => {}
+        }
+        // Another request with the same fingerprint may have given the evidence, here or elsewhere.
+        if matches!(event, GatherEvent::Failed(..)) && facts.is_blocked(fingerprint) {
+            self.reason = CRASHES_SERVERS;
+            self.tasks.abort_all();
+            return GatherEvent::Blocked;
+        }
+        event
+    }
+
     fn count_attempt(&self, kind: AttemptKind) {
         let counter = match kind {
             AttemptKind::Primary => Counter::AttemptPrimary,
@@ -249,6 +301,13 @@
     }
 
     fn send(&mut self, id: AttemptId, permit: Permit, now: Instant) {
+        let endpoint = {
+            let state = self.node.state.borrow();
+            state.directory.endpoint(permit.key()).cloned()
+        };
+        if let Some(endpoint) = endpoint {
+            self.servers.insert(id, endpoint.id);
+        }
         if self.node.state.borrow().limits.is_same_zone(permit.key()) {
             self.sent.insert(id, now);
         }
@@ -401,6 +460,9 @@
                 let wait = quota_wait(&self.node.state.borrow(), &gather.plan().services);
                 refuse_for(wait, "no server could take the request")
             }
+            GatherOutcome::Failed if self.reason == CRASHES_SERVERS => {
+                reply_error(StatusCode::BAD_GATEWAY, CRASHES_SERVERS)
+            }
             GatherOutcome::Failed => {
                 self.forward_failure(StatusCode::BAD_GATEWAY, "the servers failed")
             }
@@ -465,6 +527,30 @@
     }
 }
 
+/// Answers a request that is known to crash servers; nothing of it is sent.
+fn refuse_deadly(node: &Node, admitted: &AdmittedRequest, block: &BlockInfo) -> Answer {
+    let mut state = node.state.borrow_mut();
+    state.metrics.count(Counter::RequestBlocked);
+    if let Some(skipped) = state.allow_log_line("blocked") {
+        let id = admitted.outgoing.id.to_str().unwrap_or("?");
+        let fingerprint = admitted.outgoing.fingerprint;
+        let code = Code::CrashesServers.number();
+        let (age, left, from) = (block.age, block.left, block.origin.as_str());
+        log::info!(id, code, fingerprint:% = fingerprint, age:? = age, left:? = left, from, skipped; "request: blocked; it crashes servers");
+    }
+    reply_error(StatusCode::BAD_GATEWAY, CRASHES_SERVERS)
+}
+
+/// Logs that this gateway has found a request that crashes servers.
+fn report_blocked(node: &Node, outgoing: &OutgoingRequest, block: &BlockInfo) {
+    let id = outgoing.id.to_str().unwrap_or("?");
+    let (fingerprint, path) = (outgoing.fingerprint, outgoing.uri.path());
+    let (servers, left) = (block.servers.len(), block.left);
+    let (age, from) = (block.age, block.origin.as_str());
+    node.state.borrow_mut().metrics.count(Counter::BlockFound);
+    log::warn!(id, fingerprint:% = fingerprint, path, servers, age:? = age, left:? = left, from; "request: crashed one server after another; blocked at all gateways");
+}
+
 /// Lists the first unanswered services, each with the number of attempts sent and of those still awaited.
 fn describe_unanswered(gather: &Gather) -> String {
     let mut text = String::new();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,8 @@
 use crate::Settings;
 use crate::apply::sweep;
 use crate::discovery::discover_peers;
+use crate::facts::ask_for_facts;
+use crate::facts::spread_facts;
 use crate::ingress::serve_callers;
 use crate::ingress::serve_metrics;
 use crate::ingress::serve_ready;
@@ -119,6 +121,10 @@
     tokio::task::spawn_local(serve_peers(Rc::clone(&node), peer));
     tokio::task::spawn_local(discover_peers(Rc::clone(&node), client.clone()));
     tokio::task::spawn_local(sweep(Rc::clone(&node)));
+    let others = Rc::clone(&node);
+    let spreading = spread_facts(Rc::clone(&node.facts), move || others.other_peers());
+    tokio::task::spawn_local(spreading);
+    tokio::task::spawn_local(ask_at_start(Rc::clone(&node)));
     for kind in [ObjectKind::Configuration, ObjectKind::Servers] {
         tokio::task::spawn_local(sync_objects(Rc::clone(&node), client.clone(), kind));
     }
@@ -151,6 +157,15 @@
     Ok(())
 }
 
+/// Asks for facts once the other gateways are known.
+async fn ask_at_start(node: Rc<Node>) {
+    let listed = node.peers_listed.notified();
+    if node.state.borrow().peers.is_empty() {
+        listed.await;
+    }
+    ask_for_facts(&node.facts, &node.other_peers());
+}
+
 async fn watch_settings(node: Rc<Node>, mut changes: watch::Receiver<Settings>) {
     while changes.changed().await.is_ok() {
         let settings = changes.borrow_and_update().clone();
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -4,6 +4,7 @@
 //! A request that goes to one server is a gather over one service. The machine handles no reply bodies; it decides
 //! which attempts are sent and which of their replies make up the answer. See docs/decisions/0005-platform.md.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -65,9 +66,25 @@
 pub struct Gather {
     plan: GatherPlan,
     services: Vec<ServiceState>,
+    /// Whether any server has replied, which shows that the request doesn't crash servers.
+    replied: bool,
+    /// Whether a hedge was sent before any server has replied.
+    sent_hedge: bool,
+    careful: Option<CarefulState>,
     done: bool,
 }
 
+/// State of a request that may crash servers: one attempt is outstanding at a time, and the others wait for its end.
+#[derive(Debug, Default)]
+struct CarefulState {
+    /// The attempt that all others wait for.
+    canary: Option<AttemptId>,
+    /// All attempts that were sent so, one after the other.
+    sent: Vec<AttemptId>,
+    /// Services whose attempts wait, in the order in which they are sent.
+    waiting: VecDeque<(usize, AttemptKind)>,
+}
+
 impl Gather {
     /// Creates the state machine; it does nothing before [`GatherEvent::Start`].
     pub fn new(plan: GatherPlan) -> Gather {
@@ -91,8 +108,11 @@
             }
         }
         Gather {
+            careful: plan.careful.then(CarefulState::default),
             plan,
             services,
+            replied: false,
+            sent_hedge: false,
             done: false,
         }
     }
@@ -114,6 +134,22 @@
             .position(|state| state.progress == Progress::Open && state.outstanding.contains(&id))
     }
 
+    /// Returns whether the end of an attempt's connection is evidence that the request crashes servers.
+    ///
+    /// Of the attempts that were sent at the same time only the first one counts, and none after any server has replied.
+    pub fn is_evidence(&self, id: AttemptId) -> bool {
+        let is_counted = match &self.careful {
+            None => true,
+            Some(careful) => careful.sent.contains(&id),
+        };
+        is_counted && !self.replied && !self.done
+    }
+
+    /// Returns whether any server has replied.
+    pub fn has_replies(&self) -> bool {
+        self.replied
+    }
+
     /// Returns the services without a part, for the log line of an incomplete answer.
     pub fn unanswered_services(&self) -> Vec<UnansweredService<'_>> {
         self.plan
@@ -164,18 +200,23 @@
         }
         match event {
             GatherEvent::Start => self.start(now, env, &mut actions),
-            GatherEvent::Replied(id) => self.receive_reply(id),
+            GatherEvent::Replied(id) => self.receive_reply(id, now, env, &mut actions),
             GatherEvent::Failed(id, failure) => {
                 self.receive_failure(id, &failure, now, env, &mut actions)
             }
-            GatherEvent::Delivered(index, id) => self.receive_delivery(index, id),
+            GatherEvent::Delivered(index, id) => {
+                self.receive_delivery(index, id);
+                self.end_careful(now, env, &mut actions);
+            }
             GatherEvent::GivenUp(index, runs) => self.give_up(index, runs),
             GatherEvent::HolderLost {
                 services,
                 may_have_run,
             } => self.replace_holder(&services, may_have_run, now, env, &mut actions),
+            GatherEvent::Blocked => self.abandon(),
             GatherEvent::Wake => self.run_timers(now, env, &mut actions),
         }
+        self.send_waiting(now, env, &mut actions);
         if let Some(outcome) = self.decide_outcome(now) {
             self.done = true;
             actions.push(GatherAction::Finish(outcome));
@@ -213,7 +254,13 @@
         }
     }
 
-    fn receive_reply(&mut self, id: AttemptId) {
+    fn receive_reply(
+        &mut self,
+        id: AttemptId,
+        now: Instant,
+        env: &mut GatherEnv<'_>,
+        actions: &mut Vec<GatherAction>,
+    ) {
         for state in &mut self.services {
             if state.outstanding.contains(&id) {
                 state.outstanding.retain(|other| *other != id);
@@ -222,6 +269,52 @@
                 }
             }
         }
+        self.end_careful(now, env, actions);
+    }
+
+    /// Sends all attempts that wait, because a server has replied.
+    fn end_careful(
+        &mut self,
+        now: Instant,
+        env: &mut GatherEnv<'_>,
+        actions: &mut Vec<GatherAction>,
+    ) {
+        self.replied = true;
+        let Some(careful) = self.careful.take() else {
+            return;
+        };
+        for (index, kind) in careful.waiting {
+            if self.services[index].progress == Progress::Open {
+                self.send(index, kind, now, env, actions);
+            }
+        }
+    }
+
+    /// Sends the next of the attempts that wait, unless one is outstanding.
+    fn send_waiting(
+        &mut self,
+        now: Instant,
+        env: &mut GatherEnv<'_>,
+        actions: &mut Vec<GatherAction>,
+    ) {
+        while let Some(careful) = &mut self.careful
+            && careful.canary.is_none()
+            && let Some((index, kind)) = careful.waiting.pop_front()
+        {
+            if self.services[index].progress == Progress::Open {
+                self.send(index, kind, now, env, actions);
+            }
+        }
+    }
+
+    /// Gives up every service without a part.
+    fn abandon(&mut self) {
+        self.careful = None;
+        for state in &mut self.services {
+            if state.progress == Progress::Open {
+                state.progress = Progress::Missing;
+            }
+        }
     }
 
     fn receive_delivery(&mut self, index: usize, id: AttemptId) {
@@ -285,6 +378,14 @@
         let Some(index) = self.services.iter().position(is_outstanding) else {
             return;
         };
+        if *failure == Failure::Broken && !self.replied && self.plan.repeatable {
+            self.careful.get_or_insert_default();
+        }
+        if let Some(careful) = &mut self.careful
+            && careful.canary == Some(id)
+        {
+            careful.canary = None;
+        }
         let state = &mut self.services[index];
         state.outstanding.retain(|other| *other != id);
         if failure.proves_not_run() {
@@ -301,6 +402,8 @@
         env: &mut GatherEnv<'_>,
         actions: &mut Vec<GatherAction>,
     ) {
+        // A query that no server has answered may crash them, so that it is hedged at one service only.
+        let is_sole_hedge = !self.replied && self.services.len() > 1;
         for index in 0..self.services.len() {
             let state = &mut self.services[index];
             if state.progress != Progress::Open {
@@ -315,7 +418,20 @@
                 };
                 self.send(index, kind, now, env, actions);
             } else if state.hedge_at.is_some_and(|due| due <= now) {
+                if is_sole_hedge && self.sent_hedge {
+                    state.hedge_at = Some(now + RETRY_BACKOFF);
+                    continue;
+                }
+                self.sent_hedge = true;
                 state.hedge_at = None;
+                if let Some(careful) = &mut self.careful
+                    && careful
+                        .canary
+                        .is_some_and(|canary| state.outstanding.contains(&canary))
+                {
+                    // A silent server shows nothing; another one is asked.
+                    careful.canary = None;
+                }
                 self.send(index, AttemptKind::Hedge, now, env, actions);
             }
         }
@@ -330,6 +446,14 @@
         env: &mut GatherEnv<'_>,
         actions: &mut Vec<GatherAction>,
     ) {
+        if let Some(careful) = &mut self.careful
+            && careful.canary.is_some()
+        {
+            if kind != AttemptKind::Hedge {
+                careful.waiting.push_back((index, kind));
+            }
+            return;
+        }
         let state = &mut self.services[index];
         let service = &self.plan.services[index];
         let may_run = state.runs < self.plan.max_runs
@@ -388,6 +512,10 @@
         state.runs += 1;
         state.sent += 1;
         state.outstanding.push(id);
+        if let Some(careful) = &mut self.careful {
+            careful.canary = Some(id);
+            careful.sent.push(id);
+        }
         if self.plan.repeatable && kind != AttemptKind::Hedge {
             // A server in another zone replies later by the extra round-trip time.
             let extra_rtt = env.limits.extra_rtt(permit.key());
--- a/crates/query/src/gather_event.rs
+++ b/crates/query/src/gather_event.rs
@@ -29,6 +29,8 @@
     pub repeatable: bool,
     /// Services, by index, to which a holder sends the attempts; all others are sent from here.
     pub delegated: Vec<usize>,
+    /// Whether the request is suspected of crashing servers, so that it is sent to one at a time until one answers.
+    pub careful: bool,
     /// Budget for the repeats of the services that are not delegated.
     pub pool: RepeatPool,
     /// Maximum number of servers of one service on which the request may run.
@@ -83,6 +85,8 @@
         /// Whether the holder may have sent attempts for them.
         may_have_run: bool,
     },
+    /// The request crashes servers and must not be sent any more.
+    Blocked,
     /// The time returned by [`Gather::next_wake`] was reached.
     ///
     /// [`Gather::next_wake`]: crate::Gather::next_wake
--- a/crates/query/tests/delegated.rs
+++ b/crates/query/tests/delegated.rs
@@ -63,6 +63,7 @@
             services: names.into(),
             required,
             repeatable: true,
+            careful: false,
             delegated: delegated.to_vec(),
             pool: RepeatPool::Holder,
             max_runs,
--- a/crates/query/tests/gather.rs
+++ b/crates/query/tests/gather.rs
@@ -67,6 +67,7 @@
             services: names.into(),
             required,
             repeatable,
+            careful: false,
             delegated: Vec::new(),
             pool: RepeatPool::Shared,
             max_runs: 2,
