gateway, links: log and count that no server can be reached

Cause: the logs show attempts that fail one by one, but not that a VM has lost its links to all servers, nor since when. Change: the crate links; attempts that fail or stay silent, while no server replies, cause a probe of four servers, and the state is logged. Decisions don't change.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends one attempt to a server and classifies its reply.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -24,6 +25,7 @@
 use crate::body::Reserved;
 use crate::body::read_body;
 use crate::fingerprint::Fingerprint;
+use crate::links::SILENCE_TIMEOUT;
 use crate::metrics::Counter;
 use crate::named_limit::record_named_limit;
 use crate::node::CountGuard;
@@ -129,7 +131,7 @@
         node: Rc::clone(&node),
         permit: Some(permit),
     };
-    let result = exchange(&node, &outgoing, key).await;
+    let result = watch_exchange(&node, exchange(&node, &outgoing, key)).await;
     if let Err(error) = &result
         && error.failure == Failure::Broken
     {
@@ -149,6 +151,31 @@
     result
 }
 
+/// Waits for the end of an attempt, and tells the links what it shows about them.
+async fn watch_exchange(
+    node: &Node,
+    exchange: impl Future<Output = Result<Reply, AttemptError>>,
+) -> Result<Reply, AttemptError> {
+    let sent = Instant::now();
+    let mut exchange = pin!(exchange);
+    let result = match tokio::time::timeout(SILENCE_TIMEOUT, exchange.as_mut()).await {
+        Ok(result) => result,
+        Err(_) => {
+            node.links.suspect(sent);
+            exchange.await
+        }
+    };
+    match &result {
+        Err(error) if error.unsent => {}
+        Err(AttemptError {
+            failure: Failure::Refused | Failure::Unreachable | Failure::Broken,
+            ..
+        }) => node.links.suspect(sent),
+        Ok(_) | Err(_) => node.links.record_reply(),
+    }
+    result
+}
+
 /// Counts and logs a connection that ended during a request; a request that crashes servers shows by the same
 /// fingerprint at several of them.
 fn report_broken(node: &Node, outgoing: &OutgoingRequest, key: GateKey) {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -199,6 +199,12 @@
         usable.map(|(server, _)| server.zone.clone()).collect()
     }
 
+    /// Returns the addresses of all servers.
+    pub(crate) fn addrs(&self) -> Vec<SocketAddr> {
+        let endpoints = self.endpoints.values();
+        endpoints.map(|endpoint| endpoint.addr).collect()
+    }
+
     /// Returns the number of servers that may receive requests.
     pub fn len(&self) -> usize {
         self.endpoints.len()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod holder_client;
 mod holders;
 mod ingress;
+mod links;
 mod logging;
 mod merge;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,7 @@
     AttemptBroken = "attempts_broken",
     AttemptLimited = "attempts_to_limited_servers",
     LimitNamed = "server_limits_named",
+    LinksLost = "links_lost",
     DelegationSent = "delegations_sent",
     DelegationServed = "delegations_served",
     HolderLost = "holders_lost",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -35,6 +35,7 @@
 use crate::StoreEra;
 use crate::facts::Facts;
 use crate::holder_client::HolderPool;
+use crate::links::Links;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::packed::PackedBodies;
@@ -109,6 +110,8 @@
     pub(crate) stopping: Cell<bool>,
     /// Facts that the gateways tell each other.
     pub(crate) facts: Rc<Facts>,
+    /// Whether this gateway reaches any server.
+    pub(crate) links: Links,
     /// Wakes long polls of peers when objects change or the store is lost.
     pub(crate) store_changed: Notify,
     /// Wakes requests that wait for the first configuration and servers.
@@ -170,6 +173,7 @@
             platform,
             stopping: Cell::new(false),
             facts: Rc::new(facts),
+            links: Links::new(),
             store_changed: Notify::new(),
             loaded: Notify::new(),
             peers_listed: Notify::new(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -26,6 +26,7 @@
 use crate::ingress::serve_callers;
 use crate::ingress::serve_metrics;
 use crate::ingress::serve_ready;
+use crate::links::watch_links;
 use crate::node::Node;
 use crate::relay::serve_peers;
 use crate::sync::sync_objects;
@@ -125,6 +126,7 @@
     let spreading = spread_facts(Rc::clone(&node.facts), move || others.other_peers());
     tokio::task::spawn_local(spreading);
     tokio::task::spawn_local(ask_at_start(Rc::clone(&node)));
+    tokio::task::spawn_local(watch_links(Rc::clone(&node)));
     for kind in [ObjectKind::Configuration, ObjectKind::Servers] {
         tokio::task::spawn_local(sync_objects(Rc::clone(&node), client.clone(), kind));
     }
