--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -47,6 +47,8 @@
     pub(crate) objective: Instant,
     /// Memory reserved for the request and its body.
     pub(crate) memory: Reserved,
+    /// Attempts at each service that the gateway which forwarded the request has made, or none.
+    pub(crate) used: Vec<u32>,
 }
 
 /// Finds the route of a request and reads its body.
@@ -104,6 +106,7 @@
         outgoing,
         objective,
         memory,
+        used: Vec::new(),
     })
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends one attempt to a server and classifies its reply.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -120,18 +121,19 @@
     }
 }
 
-/// Sends one attempt and waits for the whole reply; dropping the future before that closes the connection.
+/// Sends one attempt and waits for the whole reply; `written` is set before any byte of it is sent. Dropping the future before that closes the connection.
 pub(crate) async fn send_attempt(
     node: Rc<Node>,
     outgoing: Rc<OutgoingRequest>,
     permit: Permit,
+    written: Rc<Cell<bool>>,
 ) -> Result<Reply, AttemptError> {
     let key = permit.key();
     let mut guard = PermitGuard {
         node: Rc::clone(&node),
         permit: Some(permit),
     };
-    let result = watch_exchange(&node, exchange(&node, &outgoing, key)).await;
+    let result = watch_exchange(&node, exchange(&node, &outgoing, key, &written)).await;
     if let Err(error) = &result
         && error.failure == Failure::Broken
     {
@@ -195,6 +197,7 @@
     node: &Rc<Node>,
     outgoing: &OutgoingRequest,
     key: GateKey,
+    written: &Cell<bool>,
 ) -> Result<Reply, AttemptError> {
     let endpoint = node.state.borrow().directory.endpoint(key).cloned();
     let Some(endpoint) = endpoint else {
@@ -206,6 +209,7 @@
     };
     let request = build_request(node, outgoing, endpoint.id.as_str())?;
     let sent = Instant::now();
+    written.set(true);
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -19,6 +19,7 @@
 const TAG_ALIVE: u8 = 0;
 const TAG_PART: u8 = 1;
 const TAG_GIVEN_UP: u8 = 2;
+const TAG_RETURNED: u8 = 3;
 
 /// Which services of a route a holder is asked for.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,14 +28,20 @@
     pub fingerprint: u64,
     /// Indices of the services in the route.
     pub services: Vec<usize>,
+    /// Attempts at each of these services that other gateways have made.
+    pub used: Vec<u32>,
 }
 
 impl Delegation {
-    /// Encodes the value of the header: the fingerprint, then the indices, in hexadecimal.
+    /// Encodes the value of the header: the fingerprint, then the indices, in hexadecimal, each with a colon and the number of
+    /// attempts if there were any.
     pub fn encode(&self) -> String {
         let mut value = format!("{:016x}", self.fingerprint);
-        for index in &self.services {
+        for (index, used) in self.services.iter().zip(&self.used) {
             value.push_str(&format!(" {index:x}"));
+            if *used > 0 {
+                value.push_str(&format!(":{used:x}"));
+            }
         }
         value
     }
@@ -45,18 +52,22 @@
         let mut fields = value.split(' ');
         let fingerprint = u64::from_str_radix(fields.next()?, 16).ok()?;
         let mut services = Vec::new();
+        let mut used = Vec::new();
         let mut named = vec![false; count];
         for field in fields {
-            let index = usize::from_str_radix(field, 16).ok()?;
+            let (index, runs) = field.split_once(':').unwrap_or((field, "0"));
+            let index = usize::from_str_radix(index, 16).ok()?;
             let is_named = named.get_mut(index)?;
             if std::mem::replace(is_named, true) {
                 return None;
             }
             services.push(index);
+            used.push(u32::from_str_radix(runs, 16).ok()?);
         }
         Some(Delegation {
             fingerprint,
             services,
+            used,
         })
     }
 }
@@ -82,6 +93,13 @@
         /// Body of the reply.
         body: Bytes,
     },
+    /// The holder can't reach the servers any more, so that the asking gateway has to send to the service itself.
+    Returned {
+        /// Index of the service.
+        service: usize,
+        /// Attempts that ran or may have run.
+        runs: u32,
+    },
     /// No server of the service gave a usable reply.
     GivenUp {
         /// Index of the service.
@@ -109,14 +127,21 @@
                 out.put_slice(body);
             }
             Frame::GivenUp { service, runs } => {
-                out.put_u8(TAG_GIVEN_UP);
-                out.put_u16(*service as u16);
-                out.put_u8((*runs).min(u32::from(u8::MAX)) as u8);
+                encode_runs(TAG_GIVEN_UP, *service, *runs, out);
+            }
+            Frame::Returned { service, runs } => {
+                encode_runs(TAG_RETURNED, *service, *runs, out);
             }
         }
     }
 }
 
+fn encode_runs(tag: u8, service: usize, runs: u32, out: &mut BytesMut) {
+    out.put_u8(tag);
+    out.put_u16(service as u16);
+    out.put_u8(runs.min(u32::from(u8::MAX)) as u8);
+}
+
 /// The bytes are not a frame.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct InvalidFrame;
@@ -154,15 +179,16 @@
                 Ok(Some(Frame::Alive))
             }
             TAG_PART => self.decode_part(),
-            TAG_GIVEN_UP => {
+            TAG_GIVEN_UP | TAG_RETURNED => {
                 let (Ok(service), Ok(runs)) = (head.try_get_u16(), head.try_get_u8()) else {
                     return Ok(None);
                 };
                 let used = self.buffer.len() - head.len();
                 self.buffer.advance(used);
-                Ok(Some(Frame::GivenUp {
-                    service: usize::from(service),
-                    runs: u32::from(runs),
+                let (service, runs) = (usize::from(service), u32::from(runs));
+                Ok(Some(match tag {
+                    TAG_RETURNED => Frame::Returned { service, runs },
+                    _ => Frame::GivenUp { service, runs },
                 }))
             }
             _ => Err(InvalidFrame),
--- a/crates/gateway/src/facts.rs
+++ b/crates/gateway/src/facts.rs
@@ -21,6 +21,8 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use links::Reach;
+use links::ReachFact;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -69,6 +71,10 @@
 
 struct Inner {
     suspects: Suspects,
+    reach: Reach,
+    /// What this gateway says of its links, until it is pushed.
+    own_reach: Option<ReachFact>,
+    is_cut: bool,
     rng: Pcg64Mcg,
     /// Facts that wait to be pushed, with the number of gateways to push each to.
     urgent: Vec<(RequestKey, usize)>,
@@ -79,7 +85,10 @@
 impl Facts {
     pub(crate) fn new(node: NodeId, seed: u64) -> Facts {
         let inner = Inner {
-            suspects: Suspects::new(node),
+            suspects: Suspects::new(node.clone()),
+            reach: Reach::new(node),
+            own_reach: None,
+            is_cut: false,
             rng: Pcg64Mcg::seed_from_u64(seed),
             urgent: Vec::new(),
             pushes: MAX_PUSHES,
@@ -153,10 +162,38 @@
         inner.announce(key, change, FIRST_FANOUT, &self.news);
     }
 
+    /// States whether this gateway reaches any server, which the others are told at once.
+    pub(crate) fn state_links(&self, is_cut: bool) {
+        let mut inner = self.inner.borrow_mut();
+        inner.is_cut = is_cut;
+        let fact = inner.reach.state_own(is_cut, Instant::now());
+        inner.own_reach = Some(fact);
+        self.news.notify_one();
+    }
+
+    /// Notes for a time that another gateway reaches no server.
+    pub(crate) fn note_cut(&self, node: &NodeId) {
+        let mut inner = self.inner.borrow_mut();
+        inner.reach.note_cut(node, Instant::now());
+    }
+
+    /// Returns whether another gateway reaches no server, as far as is known.
+    pub(crate) fn is_cut(&self, node: &NodeId) -> bool {
+        self.inner.borrow().reach.is_cut(node, Instant::now())
+    }
+
     fn merge(&self, text: &str) {
         let now = Instant::now();
         let mut inner = self.inner.borrow_mut();
         for line in text.lines() {
+            if let Some(fact) = ReachFact::parse(line) {
+                let is_cut = inner.is_cut;
+                if let Some(own) = inner.reach.merge(&fact, is_cut, now) {
+                    inner.own_reach = Some(own);
+                    self.news.notify_one();
+                }
+                continue;
+            }
             let Some(fact) = Fact::parse(line) else {
                 log::warn!(line; "facts: ignored a line that is not a fact");
                 continue;
@@ -175,8 +212,11 @@
 
     fn encode(&self) -> String {
         let inner = self.inner.borrow();
-        let facts = inner.suspects.facts(Instant::now());
-        facts.iter().map(|fact| format!("{fact}\n")).collect()
+        let now = Instant::now();
+        let suspects = inner.suspects.facts(now).into_iter();
+        let reach = inner.reach.facts(now).into_iter();
+        let lines = suspects.map(|fact| format!("{fact}\n"));
+        lines.chain(reach.map(|fact| format!("{fact}\n"))).collect()
     }
 
     /// Takes the facts to push now, each with its number of gateways.
@@ -186,6 +226,9 @@
         inner.refill(now);
         let urgent = std::mem::take(&mut inner.urgent);
         let mut pushes = Vec::new();
+        if let Some(fact) = inner.own_reach.take() {
+            pushes.push((format!("{fact}\n"), FIRST_FANOUT));
+        }
         for (key, fanout) in urgent {
             if inner.pushes < 1.0 {
                 break;
@@ -247,8 +290,10 @@
     loop {
         let is_empty = {
             let mut inner = facts.inner.borrow_mut();
-            inner.suspects.remove_expired(Instant::now());
-            inner.suspects.is_empty()
+            let now = Instant::now();
+            inner.suspects.remove_expired(now);
+            inner.reach.remove_expired(now);
+            inner.suspects.is_empty() && inner.reach.is_empty()
         };
         let news = facts.news.notified();
         if is_empty {
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,244 @@
+//! Forwards requests to another gateway when this one reaches no server.
+//!
+//! The other gateway serves the request like one of its own callers', whatever the route; it never forwards it again. See
+//! docs/decisions/0011-cut-off-vms.md.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Revision;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::Peer;
+use crate::answer::Answer;
+use crate::answer::refuse;
+use crate::answer::reply_error;
+use crate::attempt::MAX_REPLY_BYTES;
+use crate::attempt::OutgoingRequest;
+use crate::attempt::remove_hop_headers;
+use crate::body::Reserved;
+use crate::body::read_body;
+use crate::metrics::Counter;
+use crate::node::CountGuard;
+use crate::node::Node;
+use crate::pool::Connection;
+use crate::pool::connect;
+use crate::request::Origin;
+use crate::request::handle_request;
+
+/// Header of a forwarded request: the revision of the configuration that the sender has in force, and the attempts that it
+/// has made at each service, as far as they may have run.
+pub(crate) const FORWARDED_HEADER: &str = "limpetwick-forwarded";
+
+/// Header of a refusal by a gateway that reaches no server.
+pub(crate) const CUT_HEADER: &str = "limpetwick-cut";
+
+/// Gateways that are asked in turn.
+const MAX_HELPERS: usize = 3;
+
+/// Longest time to wait for a connection to a gateway, several round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Shortest time after which a gateway that has not replied to a repeatable request is given up.
+const MIN_PATIENCE: Duration = Duration::from_millis(400);
+
+/// A request to forward.
+pub(crate) struct Forwarding<'a> {
+    pub(crate) outgoing: &'a OutgoingRequest,
+    pub(crate) objective: Duration,
+    pub(crate) revision: Revision,
+    /// Attempts at each service that may have run, or none.
+    pub(crate) used: Vec<u32>,
+}
+
+impl Forwarding<'_> {
+    fn encode(&self) -> String {
+        let used: Vec<String> = self.used.iter().map(u32::to_string).collect();
+        format!("{};{}", self.revision, used.join(","))
+    }
+}
+
+/// Parses the output of [`Forwarding::encode`].
+fn parse_header(value: &HeaderValue) -> Option<(Revision, Vec<u32>)> {
+    let (revision, used) = value.to_str().ok()?.split_once(';')?;
+    let used = used.split(',').filter(|runs| !runs.is_empty());
+    let used: Result<Vec<u32>, _> = used.map(str::parse).collect();
+    Some((revision.parse().ok()?, used.ok()?))
+}
+
+/// How a forwarded request ended.
+pub(crate) enum Forwarded {
+    /// Another gateway has answered.
+    Answered(Answer),
+    /// No other gateway could take it, and none has sent it to a server.
+    NotTaken,
+    /// A reply was lost, so that it may have run.
+    Lost,
+}
+
+/// Why a gateway was of no help.
+enum HelperError {
+    /// It has not sent the request to a server.
+    NotRun,
+    /// It reaches no server either.
+    Cut,
+    /// It may have sent the request.
+    Lost,
+}
+
+/// Forwards a request to gateways that reach servers, one after the other, until one answers.
+pub(crate) async fn forward(node: &Rc<Node>, forwarding: &Forwarding<'_>) -> Forwarded {
+    let outgoing = forwarding.outgoing;
+    let mut asked = Vec::new();
+    let mut may_have_run = false;
+    while asked.len() < MAX_HELPERS {
+        let Some(helper) = node.choose_helper(&asked) else {
+            break;
+        };
+        asked.push(helper.node.clone());
+        let patience = match outgoing.repeatable {
+            true => forwarding.objective.max(MIN_PATIENCE),
+            false => outgoing.deadline.saturating_duration_since(Instant::now()),
+        };
+        let asking = ask(node, forwarding, &helper);
+        match tokio::time::timeout(patience, asking).await {
+            Ok(Ok(answer)) => {
+                node.state
+                    .borrow_mut()
+                    .metrics
+                    .count(Counter::RequestForwarded);
+                return Forwarded::Answered(answer);
+            }
+            Ok(Err(HelperError::NotRun)) => {}
+            Ok(Err(HelperError::Cut)) => node.facts.note_cut(&helper.node),
+            Ok(Err(HelperError::Lost)) | Err(_) => {
+                may_have_run = true;
+                if !outgoing.repeatable {
+                    break;
+                }
+            }
+        }
+    }
+    match may_have_run {
+        true => Forwarded::Lost,
+        false => Forwarded::NotTaken,
+    }
+}
+
+async fn ask(
+    node: &Rc<Node>,
+    forwarding: &Forwarding<'_>,
+    helper: &Peer,
+) -> Result<Answer, HelperError> {
+    let outgoing = forwarding.outgoing;
+    // The encoded header is digits, commas and a semicolon, which are a valid value.
+    let header = HeaderValue::from_str(&forwarding.encode()).map_err(|_| HelperError::NotRun)?;
+    let mut request = outgoing.build(&node.headers).ok_or(HelperError::NotRun)?;
+    request.headers_mut().insert(FORWARDED_HEADER, header);
+    let mut connection = open_connection(node, outgoing, helper).await?;
+    let response = match connection.sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            return Err(match error.take_message() {
+                Some(_) => HelperError::NotRun,
+                None => HelperError::Lost,
+            });
+        }
+    };
+    let (mut head, body) = response.into_parts();
+    let mut memory = Reserved::empty(node);
+    let body = read_body(body, MAX_REPLY_BYTES, &mut memory)
+        .await
+        .map_err(|_| HelperError::Lost)?;
+    let is_kept = !connection.sender.is_closed();
+    if is_kept {
+        let mut state = node.state.borrow_mut();
+        state
+            .holder_pool
+            .put(helper.addr, connection, Instant::now());
+    }
+    if head.status == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(match head.headers.contains_key(CUT_HEADER) {
+            true => HelperError::Cut,
+            false => HelperError::NotRun,
+        });
+    }
+    remove_hop_headers(&mut head.headers);
+    head.headers.remove(CUT_HEADER);
+    Ok(Response::from_parts(head, Full::new(body)))
+}
+
+/// Takes an idle connection or opens one. A request that may run only once gets a new one: if an idle one closes while
+/// the request is sent, nothing shows whether it ran.
+async fn open_connection(
+    node: &Node,
+    outgoing: &OutgoingRequest,
+    helper: &Peer,
+) -> Result<Connection, HelperError> {
+    if outgoing.repeatable {
+        let mut state = node.state.borrow_mut();
+        if let Some(idle) = state.holder_pool.take(helper.addr, Instant::now()) {
+            return Ok(idle);
+        }
+    }
+    let opening = tokio::time::timeout(CONNECT_TIMEOUT, connect(helper.addr, ()));
+    match opening.await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(_)) | Err(_) => Err(HelperError::NotRun),
+    }
+}
+
+/// Serves a request for a gateway that reaches no server; a refusal proves that it has not run.
+pub(crate) async fn answer_forwarded(node: &Rc<Node>, mut request: Request<Incoming>) -> Answer {
+    let value = request.headers_mut().remove(FORWARDED_HEADER);
+    if node.links.is_cut() {
+        return mark_cut(refuse_cut(false));
+    }
+    if node.stopping.get() {
+        return refuse("this gateway is stopping");
+    }
+    let header = value.as_ref().and_then(parse_header);
+    let Some((_, used)) = header.filter(|(revision, _)| has_revision(node, *revision)) else {
+        return refuse("the configuration in force here is older");
+    };
+    let _guard = CountGuard::new(node, |node| &node.delegations);
+    node.state
+        .borrow_mut()
+        .metrics
+        .count(Counter::RequestServedForPeer);
+    let answer = handle_request(Rc::clone(node), request, Origin::Gateway { used }).await;
+    match node.links.is_cut() {
+        true => mark_cut(answer),
+        false => answer,
+    }
+}
+
+/// Tells the other gateway that this one reaches no server either.
+pub(crate) fn mark_cut(mut answer: Answer) -> Answer {
+    let cut = HeaderValue::from_static("1");
+    answer.headers_mut().insert(CUT_HEADER, cut);
+    answer
+}
+
+fn has_revision(node: &Node, revision: Revision) -> bool {
+    let state = node.state.borrow();
+    let own = state.table.as_ref().map(|table| table.revision);
+    own.is_some_and(|own| own >= revision)
+}
+
+/// Answers a request that can be sent neither from here nor by another gateway.
+pub(crate) fn refuse_cut(ran: bool) -> Answer {
+    match ran {
+        true => reply_error(
+            StatusCode::BAD_GATEWAY,
+            "the reply was lost, and no server can be reached any more",
+        ),
+        false => refuse("no server can be reached"),
+    }
+}
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -34,6 +34,8 @@
 use crate::delegation::Frame;
 use crate::delegation::HEADER;
 use crate::delegation::hash_services;
+use crate::forward::mark_cut;
+use crate::forward::refuse_cut;
 use crate::metrics::Counter;
 use crate::node::CountGuard;
 use crate::node::Node;
@@ -83,6 +85,9 @@
 pub(crate) async fn answer_delegated(node: &Rc<Node>, request: Request<Incoming>) -> PeerAnswer {
     let arrived = Instant::now();
     let value = request.headers().get(HEADER).cloned();
+    if node.links.is_cut() {
+        return mark_cut(refuse_cut(false)).map(Either::Left);
+    }
     if node.stopping.get() {
         return refuse("this gateway is stopping").map(Either::Left);
     }
@@ -106,7 +111,7 @@
     let (sender, frames) = mpsc::unbounded_channel();
     let guard = CountGuard::new(node, |node| &node.delegations);
     let node = Rc::clone(node);
-    let run = async move { run(&node, admitted, &delegation.services, &sender).await };
+    let run = async move { run(&node, admitted, &delegation, &sender).await };
     Response::new(Either::Right(PartStream {
         run: Box::pin(run),
         frames,
@@ -138,9 +143,10 @@
 async fn run(
     node: &Rc<Node>,
     admitted: AdmittedRequest,
-    indices: &[usize],
+    delegation: &Delegation,
     frames: &mpsc::UnboundedSender<Frame>,
 ) {
+    let indices = &delegation.services;
     let Target::Shards { services, .. } = &admitted.route.target else {
         return;
     };
@@ -157,6 +163,7 @@
             // The asking gateway sends a request that is suspected of crashing servers itself.
             careful: false,
             delegated: Vec::new(),
+            used: delegation.used.clone(),
             pool: RepeatPool::Holder,
             max_runs: admitted.route.max_runs,
             objective: admitted.outgoing.deadline,
@@ -189,6 +196,10 @@
         let wake = gather.next_wake().unwrap_or(gather.plan().deadline);
         event = tokio::select! {
             biased;
+            () = node.links.lost.notified() => {
+                return_services(&run, &gather, indices, frames);
+                return;
+            }
             Some(progress) = received.recv() => run.record_progress(progress),
             () = tokio::time::sleep_until(wake.into()) => GatherEvent::Wake,
             _ = alive.tick() => {
@@ -207,6 +218,23 @@
     run.finish();
 }
 
+/// Hands the services without a part back to the asking gateway, because no server can be reached from here.
+fn return_services(
+    run: &RequestRun<'_>,
+    gather: &Gather,
+    indices: &[usize],
+    frames: &mpsc::UnboundedSender<Frame>,
+) {
+    let runs = run.count_runs(gather);
+    for service in gather.unanswered_services() {
+        // The receiver lives as long as the future that calls this.
+        let _ = frames.send(Frame::Returned {
+            service: indices[service.index],
+            runs: runs[service.index],
+        });
+    }
+}
+
 fn build_part(node: &Node, service: usize, reply: Reply) -> Frame {
     let signature = reply.headers.get(&node.headers.signature);
     Frame::Part {
--- a/crates/gateway/src/holder_client.rs
+++ b/crates/gateway/src/holder_client.rs
@@ -22,6 +22,7 @@
 use crate::delegation::Frame;
 use crate::delegation::FrameDecoder;
 use crate::delegation::HEADER;
+use crate::forward::CUT_HEADER;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::pool::Connection;
@@ -47,7 +48,7 @@
 }
 
 impl HolderPool {
-    fn take(&mut self, addr: SocketAddr, now: Instant) -> Option<Connection> {
+    pub(crate) fn take(&mut self, addr: SocketAddr, now: Instant) -> Option<Connection> {
         let idle = self.idle.get_mut(&addr)?;
         while let Some((since, connection)) = idle.pop() {
             if is_usable(since, &connection, now) {
@@ -57,7 +58,7 @@
         None
     }
 
-    fn put(&mut self, addr: SocketAddr, connection: Connection, now: Instant) {
+    pub(crate) fn put(&mut self, addr: SocketAddr, connection: Connection, now: Instant) {
         self.idle.entry(addr).or_default().push((now, connection));
     }
 
@@ -81,6 +82,8 @@
     may_have_run: bool,
     /// Whether the holder is healthy and refuses just this request.
     refused: bool,
+    /// Whether the holder says that it reaches no server.
+    cut: bool,
 }
 
 const fn lost(reason: &'static str, may_have_run: bool) -> Lost {
@@ -88,6 +91,7 @@
         reason,
         may_have_run,
         refused: false,
+        cut: false,
     }
 }
 
@@ -95,6 +99,14 @@
     reason: "the holder refused the request",
     may_have_run: false,
     refused: true,
+    cut: false,
+};
+
+const CUT: Lost = Lost {
+    reason: "the holder reaches no server",
+    may_have_run: false,
+    refused: true,
+    cut: true,
 };
 
 /// Asks a holder for parts, and reports each of them and, if the holder fails, the services that are still open.
@@ -123,6 +135,14 @@
         log::info!(id, holder, reason, may_have_run, services = open.len(), skipped; "holder: lost; sending to its servers from here");
     }
     drop(state);
+    if lost.cut {
+        node.facts.note_cut(&holder.node);
+        for service in open {
+            // The receiver is gone if the request has ended meanwhile.
+            let _ = results.send(Progress::Returned { service, runs: 0 });
+        }
+        return;
+    }
     // The receiver is gone if the request has ended meanwhile.
     let _ = results.send(Progress::HolderLost {
         services: open,
@@ -172,6 +192,9 @@
     };
     match response.status() {
         StatusCode::OK => {}
+        StatusCode::SERVICE_UNAVAILABLE if response.headers().contains_key(CUT_HEADER) => {
+            return Err(CUT);
+        }
         StatusCode::SERVICE_UNAVAILABLE => return Err(REFUSED),
         _ => return Err(lost("the holder does not know delegated requests", false)),
     }
@@ -228,7 +251,9 @@
 ) -> Result<Option<Progress>, Lost> {
     let service = match &frame {
         Frame::Alive => return Ok(None),
-        Frame::Part { service, .. } | Frame::GivenUp { service, .. } => *service,
+        Frame::Part { service, .. }
+        | Frame::GivenUp { service, .. }
+        | Frame::Returned { service, .. } => *service,
     };
     let Some(position) = open.iter().position(|other| *other == service) else {
         return Err(lost("the reply names a service that is not open", true));
@@ -242,6 +267,7 @@
             None => Progress::GivenUp { service, runs: 1 },
         },
         Frame::GivenUp { runs, .. } => Progress::GivenUp { service, runs },
+        Frame::Returned { runs, .. } => Progress::Returned { service, runs },
         Frame::Alive => return Ok(None),
     };
     Ok(Some(progress))
--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -88,15 +88,21 @@
         self.holders.iter().any(|holder| holder.node == *node)
     }
 
-    /// Divides services among the holders that did not fail lately; without any, `node` sends to all of them itself.
-    pub fn assign(&self, services: &[ServiceName], node: &NodeId, now: Instant) -> Vec<Assignment> {
-        let is_usable = |holder: &&Peer| {
-            holder.node == *node
-                || self
-                    .failed
-                    .get(&holder.node)
-                    .is_none_or(|failed| now >= failed.until)
+    /// Divides services among the holders that did not fail lately and are not known to be cut off from the servers;
+    /// without any, `node` sends to all of them itself.
+    pub fn assign(
+        &self,
+        services: &[ServiceName],
+        node: &NodeId,
+        is_cut: impl Fn(&NodeId) -> bool,
+        now: Instant,
+    ) -> Vec<Assignment> {
+        let has_failed = |holder: &Peer| {
+            let failed = self.failed.get(&holder.node);
+            failed.is_some_and(|failed| now < failed.until)
         };
+        let is_usable =
+            |holder: &&Peer| !is_cut(&holder.node) && (holder.node == *node || !has_failed(holder));
         let usable: Vec<&Peer> = self.holders.iter().filter(is_usable).collect();
         let mut assignments: Vec<Assignment> = Vec::new();
         for (index, service) in services.iter().enumerate() {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -23,6 +23,7 @@
 use crate::metrics::Counter;
 use crate::node::CountGuard;
 use crate::node::Node;
+use crate::request::Origin;
 use crate::request::handle_request;
 
 /// Idle timeout of connections that are opened before the first configuration is in force.
@@ -63,7 +64,7 @@
     let max_head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_head_bytes);
     let service = service_fn(|request| {
         let node = Rc::clone(&node);
-        async move { Ok::<_, Infallible>(handle_request(node, request).await) }
+        async move { Ok::<_, Infallible>(handle_request(node, request, Origin::Caller).await) }
     });
     let _open = CountGuard::new(&node, |node| &node.caller_connections);
     let connection = http1::Builder::new()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod era;
 mod facts;
 mod fingerprint;
+mod forward;
 mod holder;
 mod holder_client;
 mod holders;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -30,6 +30,9 @@
 /// Interval of probes while no server can be reached.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which a gateway that reaches no server tells the others so.
+const STATE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Whether this gateway reaches any server.
 pub(crate) struct Links {
     detector: RefCell<Detector>,
@@ -60,6 +63,17 @@
         }
     }
 
+    /// Returns whether any server has replied since shortly before a time.
+    pub(crate) fn has_reply_since(&self, time: Instant) -> bool {
+        let since = time.checked_sub(SILENCE_TIMEOUT).unwrap_or(time);
+        self.detector.borrow().has_reply_since(since)
+    }
+
+    /// Returns the share of requests that are to be sent from here.
+    pub(crate) fn own_share(&self) -> f64 {
+        self.detector.borrow().own_share(Instant::now())
+    }
+
     /// Returns whether no server can be reached.
     pub(crate) fn is_cut(&self) -> bool {
         self.detector.borrow().is_cut()
@@ -68,9 +82,14 @@
 
 /// Probes servers when attempts fail, and as long as none can be reached, until the process ends.
 pub(crate) async fn watch_links(node: Rc<Node>) {
+    let mut last_stated = Instant::now();
     loop {
         if node.links.is_cut() {
             tokio::time::sleep(PROBE_INTERVAL).await;
+            if last_stated.elapsed() >= STATE_INTERVAL {
+                last_stated = Instant::now();
+                node.facts.state_links(true);
+            }
         } else {
             node.links.suspected.notified().await;
         }
@@ -97,10 +116,14 @@
             node.state.borrow_mut().metrics.count(Counter::LinksLost);
             log::warn!(probed; "links: no server can be reached");
             node.links.lost.notify_waiters();
+            node.facts.state_links(true);
         }
         LinkChange::Returned(time) => {
             let seconds = time.as_secs_f64();
             log::info!(seconds; "links: servers can be reached again");
+            // What was seen of the servers meanwhile says nothing about them.
+            node.state.borrow_mut().limits.forget_failures();
+            node.facts.state_links(false);
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     AttemptBroken = "attempts_broken",
     AttemptLimited = "attempts_to_limited_servers",
     LimitNamed = "server_limits_named",
+    RequestForwarded = "requests_forwarded",
+    RequestServedForPeer = "requests_served_for_others",
     LinksLost = "links_lost",
     DelegationSent = "delegations_sent",
     DelegationServed = "delegations_served",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,13 +8,16 @@
 use std::time::Instant;
 
 use base::AttemptId;
+use base::NodeId;
 use base::RegionName;
+use limit::Distance;
 use limit::LatencyHistogram;
 use limit::Limits;
 use limit::MemoryBudget;
 use limit::RepeatPool;
 use limit::RepeatRule;
 use limit::Tuning;
+use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
@@ -61,6 +64,9 @@
 /// Holders of one shard in a zone that share the limit: the first one, and the one that replaces it.
 const SENDERS_PER_ZONE: u32 = 2;
 
+/// Divisor of the gateways of a place of which more have to reach servers, or others help as well.
+const MIN_HELPER_DIVISOR: usize = 3;
+
 /// Divisor of the process's memory that gives the budget for requests in progress; the rest is for code, tables,
 /// connections and answers that callers are slow to read.
 const MEMORY_DIVISOR: u64 = 2;
@@ -199,6 +205,43 @@
         known.filter(is_other).cloned().collect()
     }
 
+    /// Chooses a gateway that reaches servers as far as is known, other than those in `asked`: in the own zone, unless few
+    /// there have links, else also in the region or elsewhere.
+    pub(crate) fn choose_helper(&self, asked: &[NodeId]) -> Option<Peer> {
+        let others = self.other_peers();
+        let mut state = self.state.borrow_mut();
+        let settings = &state.settings;
+        let is_linked = |peer: &&Peer| !self.facts.is_cut(&peer.node);
+        let linked: Vec<&Peer> = others.iter().filter(is_linked).collect();
+        let distance = |peer: &Peer| {
+            let region = settings.regions.get(&peer.zone);
+            let own = (&settings.zone, Some(&settings.region));
+            Distance::between(own, (&peer.zone, region))
+        };
+        let count = |peers: &[Peer], most: Distance| {
+            peers.iter().filter(|peer| distance(peer) <= most).count()
+        };
+        let mut candidates = Vec::new();
+        for most in [
+            Distance::SameZone,
+            Distance::SameRegion,
+            Distance::OtherRegion,
+        ] {
+            candidates = linked.clone();
+            candidates.retain(|peer| distance(peer) <= most);
+            // So that the callers of many VMs don't meet at a few.
+            if candidates.len() * MIN_HELPER_DIVISOR > count(&others, most) {
+                break;
+            }
+        }
+        candidates.retain(|peer| !asked.contains(&peer.node));
+        if candidates.is_empty() {
+            return None;
+        }
+        let at = state.rng.random_range(0..candidates.len());
+        Some(candidates[at].clone())
+    }
+
     /// Returns whether the load balancer should send new connections here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.state.borrow().is_loaded()
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use base::NodeId;
 use base::ServiceName;
 use limit::RepeatPool;
 use query::GatherPlan;
@@ -17,15 +18,26 @@
 /// Divides the services of a query among the holders of the zone and this gateway; without holders, all are sent from
 /// here.
 pub(crate) fn assign_services(node: &Node, route: &Route) -> Vec<Assignment> {
-    let state = node.state.borrow();
     match &route.target {
-        Target::Shards { services, .. } if route.repeatable && !state.holders.is_empty() => state
-            .holders
-            .assign(services, &state.settings.node, Instant::now()),
+        Target::Shards { services, .. } if route.repeatable => assign_among(node, services),
         Target::Shards { .. } | Target::Services(_) => Vec::new(),
     }
 }
 
+/// Divides services among the holders of the zone that reach the servers.
+pub(crate) fn assign_among(node: &Node, services: &[ServiceName]) -> Vec<Assignment> {
+    let state = node.state.borrow();
+    if state.holders.is_empty() {
+        return Vec::new();
+    }
+    let own = &state.settings.node;
+    let is_cut = |holder: &NodeId| match holder == own {
+        true => node.links.is_cut(),
+        false => node.facts.is_cut(holder),
+    };
+    state.holders.assign(services, own, is_cut, Instant::now())
+}
+
 pub(crate) fn build_plan(
     node: &Node,
     admitted: &AdmittedRequest,
@@ -58,6 +70,7 @@
             .filter(|assignment| assignment.holder.is_some())
             .flat_map(|assignment| assignment.services.iter().copied())
             .collect(),
+        used: admitted.used.clone(),
         pool: match &route.target {
             Target::Shards { .. } => state.repeat_pool(),
             Target::Services(_) => RepeatPool::Shared,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -35,6 +35,8 @@
 use crate::era::ERA_HEADER;
 use crate::facts::FACTS_PATH;
 use crate::facts::answer_facts;
+use crate::forward::FORWARDED_HEADER;
+use crate::forward::answer_forwarded;
 use crate::holder::answer_delegated;
 use crate::node::Node;
 use crate::packed::ENCODING;
@@ -164,6 +166,9 @@
             if request.headers().contains_key(HEADER) {
                 return answer_delegated(&node, request).await;
             }
+            if request.headers().contains_key(FORWARDED_HEADER) {
+                return answer_forwarded(&node, request).await.map(Either::Left);
+            }
             if request.uri().path() == FACTS_PATH {
                 return answer_facts(&node.facts, request).await.map(Either::Left);
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! Runs one request of a caller, from its arrival to its answer.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -26,11 +27,13 @@
 use query::GatherEvent;
 use query::GatherOutcome;
 use query::UnansweredService;
+use rand::RngExt;
 use suspect::BlockInfo;
 use suspect::Verdict;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use crate::Peer;
 use crate::Route;
 use crate::Target;
 use crate::admit::AdmittedRequest;
@@ -46,12 +49,17 @@
 use crate::body::Reserved;
 use crate::delegation::Delegation;
 use crate::delegation::hash_services;
+use crate::forward::Forwarded;
+use crate::forward::Forwarding;
+use crate::forward::forward;
+use crate::forward::refuse_cut;
 use crate::holder_client::delegate;
 use crate::holders::Assignment;
 use crate::merge::merge_records;
 use crate::metrics::Counter;
 use crate::named_limit::quota_wait;
 use crate::node::Node;
+use crate::plan::assign_among;
 use crate::plan::assign_services;
 use crate::plan::build_plan;
 
@@ -77,6 +85,8 @@
     Delivered { service: usize, reply: Reply },
     /// A holder gave up this service after a number of attempts that may have run.
     GivenUp { service: usize, runs: u32 },
+    /// A holder can't go on with this service, after a number of attempts that may have run.
+    Returned { service: usize, runs: u32 },
     /// A holder failed; these services are still open.
     HolderLost {
         services: Vec<usize>,
@@ -84,11 +94,31 @@
     },
 }
 
+/// From where a request came.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Origin {
+    Caller,
+    /// Another gateway, which reaches no server itself; the request is not forwarded again.
+    Gateway {
+        /// Attempts that it has made at each service, or none.
+        used: Vec<u32>,
+    },
+}
+
 /// Handles one request; dropping the future closes the connections of its attempts in progress.
-pub(crate) async fn handle_request(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn handle_request(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Answer {
     let arrived = Instant::now();
     let mut answer = match admit(&node, request, arrived).await {
-        Ok(admitted) => run(&node, admitted).await,
+        Ok(mut admitted) => {
+            if let Origin::Gateway { used } = &origin {
+                admitted.used.clone_from(used);
+            }
+            run(&node, admitted, origin).await
+        }
         Err(answer) => answer,
     };
     if node.stopping.get() {
@@ -125,6 +155,8 @@
     failure: Option<Reply>,
     /// Send times of the attempts to servers in the same zone.
     sent: HashMap<AttemptId, Instant>,
+    /// Whether anything of each outstanding attempt was sent.
+    written: HashMap<AttemptId, Rc<Cell<bool>>>,
     /// Servers of the attempts.
     servers: HashMap<AttemptId, UpstreamId>,
     /// Why the latest attempt failed, or [`NO_FAILURE`].
@@ -133,9 +165,27 @@
     _memory: Reserved,
 }
 
-async fn run(node: &Rc<Node>, admitted: AdmittedRequest) -> Answer {
+async fn run(node: &Rc<Node>, admitted: AdmittedRequest, origin: Origin) -> Answer {
     let started = Instant::now();
     let mut guard = AbandonGuard { node, ended: false };
+    let assignments = assign_services(node, &admitted.route);
+    let is_delegated = !assignments.is_empty() && assignments.iter().all(|a| a.holder.is_some());
+    if origin == Origin::Caller && !is_delegated && !is_sent_from_here(node) {
+        let forwarding = Forwarding {
+            outgoing: &admitted.outgoing,
+            objective: admitted.route.objective,
+            revision: admitted.revision,
+            used: Vec::new(),
+        };
+        let forwarded = forward(node, &forwarding).await;
+        guard.ended = true;
+        match forwarded {
+            Forwarded::Answered(answer) => return answer,
+            Forwarded::Lost => return refuse_cut(true),
+            Forwarded::NotTaken if node.links.is_cut() => return refuse_cut(false),
+            Forwarded::NotTaken => guard.ended = false,
+        }
+    }
     let careful = match node.facts.check(admitted.outgoing.fingerprint) {
         Verdict::Clear => false,
         Verdict::Careful => true,
@@ -147,16 +197,27 @@
     let assignments = match careful {
         // Holders don't know how far this gateway has come with it.
         true => Vec::new(),
-        false => assign_services(node, &admitted.route),
+        false => assignments,
     };
     let mut gather = Gather::new(build_plan(node, &admitted, &assignments, careful));
     let (mut run, mut received) = RequestRun::new(node, admitted);
     let mut outcome = run.apply_event(&mut gather, GatherEvent::Start);
     if outcome.is_none() {
         // A request that ends at once is refused as not run, so that no holder may have it.
-        run.delegate(&assignments);
+        run.delegate(&assignments, &gather.plan().used);
     }
     let outcome = loop {
+        let is_stuck = match outcome {
+            None => node.links.is_cut() && gather.sends_itself() && !gather.has_replies(),
+            Some(GatherOutcome::NotRun) => {
+                gather.sent() > 0 && !node.links.has_reply_since(started)
+            }
+            Some(_) => false,
+        };
+        if is_stuck && (run.outgoing.repeatable || !run.may_have_run(&gather)) {
+            guard.ended = true;
+            return run.hand_over(&gather, &origin, started).await;
+        }
         if let Some(outcome) = outcome {
             break outcome;
         }
@@ -167,6 +228,7 @@
                 Some(progress) => run.record_progress(progress),
                 None => GatherEvent::Wake,
             },
+            () = node.links.lost.notified() => GatherEvent::Wake,
             () = tokio::time::sleep_until(wake.into()) => GatherEvent::Wake,
         };
         outcome = run.apply_event(&mut gather, event);
@@ -194,6 +256,7 @@
             failure: None,
             sent: HashMap::new(),
             servers: HashMap::new(),
+            written: HashMap::new(),
             reason: NO_FAILURE,
             revision: admitted.revision,
             _memory: admitted.memory,
@@ -201,30 +264,105 @@
         (run, received)
     }
 
+    /// Returns whether any attempt has run or may have run; one whose connection is not open yet has not.
+    fn may_have_run(&self, gather: &Gather) -> bool {
+        self.count_runs(gather).iter().any(|runs| *runs > 0)
+    }
+
+    /// Returns for each service the number of attempts that ran or may have run, without those whose connection is not
+    /// open yet.
+    pub(crate) fn count_runs(&self, gather: &Gather) -> Vec<u32> {
+        let mut runs: Vec<u32> = gather.runs().collect();
+        for (id, written) in &self.written {
+            if let Some(service) = gather.service_of(*id)
+                && !written.get()
+            {
+                runs[service] = runs[service].saturating_sub(1);
+            }
+        }
+        runs
+    }
+
+    /// Hands the request on to another gateway, because no server can be reached from here.
+    async fn hand_over(mut self, gather: &Gather, origin: &Origin, started: Instant) -> Answer {
+        let used = self.count_runs(gather);
+        let ran = used.iter().any(|runs| *runs > 0);
+        self.tasks.abort_all();
+        let forwarding = Forwarding {
+            outgoing: &self.outgoing,
+            objective: self.route.objective,
+            revision: self.revision,
+            used,
+        };
+        let forwarded = match origin {
+            Origin::Caller => forward(self.node, &forwarding).await,
+            Origin::Gateway { .. } => Forwarded::NotTaken,
+        };
+        let answer = match forwarded {
+            Forwarded::Answered(answer) => return answer,
+            Forwarded::Lost => refuse_cut(true),
+            Forwarded::NotTaken => refuse_cut(ran),
+        };
+        self.reason = "no server can be reached";
+        let outcome = match ran {
+            true => GatherOutcome::Failed,
+            false => GatherOutcome::NotRun,
+        };
+        self.report(&outcome, gather, started);
+        answer
+    }
+
     /// Asks the holders for the parts of the services that are assigned to them.
-    fn delegate(&mut self, assignments: &[Assignment]) {
+    fn delegate(&mut self, assignments: &[Assignment], used: &[u32]) {
+        for assignment in assignments {
+            if let Some(holder) = assignment.holder.clone() {
+                let indices = assignment.services.iter();
+                let used = indices.map(|index| used.get(*index).copied().unwrap_or_default());
+                let used = used.collect();
+                self.ask_holder(holder, assignment.services.clone(), used);
+            }
+        }
+    }
+
+    /// Asks a holder for the parts of services, after some attempts that may have run.
+    fn ask_holder(&mut self, holder: Peer, indices: Vec<usize>, used: Vec<u32>) {
         let Target::Shards { services, .. } = &self.route.target else {
             return;
         };
-        let fingerprint = hash_services(services);
-        for assignment in assignments {
-            let Some(holder) = assignment.holder.clone() else {
-                continue;
-            };
-            let delegation = Delegation {
-                fingerprint,
-                services: assignment.services.clone(),
-            };
-            let mut state = self.node.state.borrow_mut();
-            state.metrics.count(Counter::DelegationSent);
-            drop(state);
-            self.tasks.spawn_local(delegate(
-                Rc::clone(self.node),
-                Rc::clone(&self.outgoing),
-                holder,
-                delegation,
-                self.results.clone(),
-            ));
+        let delegation = Delegation {
+            fingerprint: hash_services(services),
+            services: indices,
+            used,
+        };
+        let mut state = self.node.state.borrow_mut();
+        state.metrics.count(Counter::DelegationSent);
+        drop(state);
+        self.tasks.spawn_local(delegate(
+            Rc::clone(self.node),
+            Rc::clone(&self.outgoing),
+            holder,
+            delegation,
+            self.results.clone(),
+        ));
+    }
+
+    /// Takes a service back from a holder that was cut off from the servers, and asks another holder if there is one.
+    fn take_back(&mut self, service: usize, runs: u32) -> GatherEvent {
+        self.reason = "a holder was cut off from the servers";
+        let Target::Shards { services, .. } = &self.route.target else {
+            return GatherEvent::Returned(service, runs);
+        };
+        let name = services.get(service).cloned();
+        let assignments = assign_among(self.node, name.as_slice());
+        let holder = assignments
+            .into_iter()
+            .find_map(|assignment| assignment.holder);
+        match holder {
+            Some(holder) => {
+                self.ask_holder(holder, vec![service], vec![runs]);
+                GatherEvent::Delegated(service, runs)
+            }
+            None => GatherEvent::Returned(service, runs),
         }
     }
 
@@ -314,8 +452,10 @@
         let node = Rc::clone(self.node);
         let outgoing = Rc::clone(&self.outgoing);
         let results = self.results.clone();
+        let written = Rc::new(Cell::new(false));
+        self.written.insert(id, Rc::clone(&written));
         self.tasks.spawn_local(async move {
-            let result = send_attempt(node, outgoing, permit).await;
+            let result = send_attempt(node, outgoing, permit, written).await;
             // The receiver is gone if the request has ended meanwhile.
             let _ = results.send(Progress::Ended(id, result));
         });
@@ -345,6 +485,7 @@
                 self.reason = "a holder got no part";
                 GatherEvent::GivenUp(service, runs)
             }
+            Progress::Returned { service, runs } => self.take_back(service, runs),
             Progress::HolderLost {
                 services,
                 may_have_run,
@@ -364,6 +505,7 @@
     }
 
     fn record_result(&mut self, id: AttemptId, result: Result<Reply, AttemptError>) -> GatherEvent {
+        self.written.remove(&id);
         match result {
             Ok(reply) if self.is_usable(&reply) => {
                 if let Some(sent) = self.sent.get(&id) {
@@ -527,6 +669,12 @@
     }
 }
 
+/// Returns whether a new request is sent from here, and not by another gateway.
+fn is_sent_from_here(node: &Node) -> bool {
+    let share = node.links.own_share();
+    share >= 1.0 || node.state.borrow_mut().rng.random::<f64>() < share
+}
+
 /// Answers a request that is known to crash servers; nothing of it is sent.
 fn refuse_deadly(node: &Node, admitted: &AdmittedRequest, block: &BlockInfo) -> Answer {
     let mut state = node.state.borrow_mut();
--- a/crates/gateway/tests/delegation.rs
+++ b/crates/gateway/tests/delegation.rs
@@ -80,7 +80,9 @@
     /// Guards against a holder that is asked for other services than the gateway means.
     #[test]
     fn header_round_trips(fingerprint: u64, services in prop::collection::btree_set(0..90_usize, 0..90)) {
-        let delegation = Delegation { fingerprint, services: services.into_iter().collect() };
+        let services: Vec<usize> = services.into_iter().collect();
+        let used = services.iter().map(|at| *at as u32 % 3).collect();
+        let delegation = Delegation { fingerprint, services, used };
         prop_assert_eq!(Delegation::decode(&delegation.encode(), 90), Some(delegation));
     }
 }
--- a/crates/gateway/tests/holders.rs
+++ b/crates/gateway/tests/holders.rs
@@ -87,12 +87,12 @@
         reversed.set(peers.iter().rev());
         let services = create_services(count);
         let now = Instant::now();
-        let assignments = holders.assign(&services, &"x".into(), now);
+        let assignments = holders.assign(&services, &"x".into(), |_| false, now);
         let mut named: Vec<usize> =
             assignments.iter().flat_map(|assignment| assignment.services.clone()).collect();
         named.sort_unstable();
         prop_assert_eq!(named, (0..count).collect::<Vec<usize>>());
-        let other = reversed.assign(&services, &"y".into(), now);
+        let other = reversed.assign(&services, &"y".into(), |_| false, now);
         prop_assert_eq!(holder_of(&assignments, count), holder_of(&other, count));
     }
 }
@@ -108,7 +108,7 @@
     });
     let holders = create_holders(&peers);
     let services = create_services(1_000);
-    let assignments = holders.assign(&services, &"x".into(), Instant::now());
+    let assignments = holders.assign(&services, &"x".into(), |_| false, Instant::now());
     let mut counts: HashMap<NodeId, usize> = HashMap::new();
     for name in holder_of(&assignments, services.len()) {
         *counts.entry(name).or_default() += 1;
@@ -125,7 +125,10 @@
 fn lost_holder_is_skipped_for_a_growing_time() {
     let holders_of = |holders: &Holders, now| {
         let services = create_services(90);
-        holder_of(&holders.assign(&services, &"weak-1".into(), now), 90)
+        holder_of(
+            &holders.assign(&services, &"weak-1".into(), |_| false, now),
+            90,
+        )
     };
     let mut holders = create_holders(&create_zone(3, 45));
     let start = Instant::now();
@@ -152,12 +155,15 @@
     let mut holders = create_holders(&create_zone(3, 45));
     let start = Instant::now();
     let services = create_services(90);
-    let before = holders.assign(&services, &"weak-1".into(), start);
+    let before = holders.assign(&services, &"weak-1".into(), |_| false, start);
     for late in 0..20 {
         holders.record_failure(&"strong-1".into(), start + Duration::from_millis(late));
     }
     let later = start + Duration::from_secs(1);
-    assert_eq!(holders.assign(&services, &"weak-1".into(), later), before);
+    assert_eq!(
+        holders.assign(&services, &"weak-1".into(), |_| false, later),
+        before
+    );
 }
 
 /// Guards against a gateway that sends nothing because every holder is lost, and against a holder that delegates its
@@ -170,10 +176,10 @@
     for lost in ["strong-0", "strong-1", "strong-2"] {
         holders.record_failure(&lost.into(), now);
     }
-    let assignments = holders.assign(&services, &"weak-1".into(), now);
+    let assignments = holders.assign(&services, &"weak-1".into(), |_| false, now);
     assert_eq!(assignments.len(), 1);
     assert_eq!(assignments[0].holder, None);
-    let own = holders.assign(&services, &"strong-2".into(), now);
+    let own = holders.assign(&services, &"strong-2".into(), |_| false, now);
     assert_eq!((own.len(), own[0].holder.clone()), (1, None));
 }
 
@@ -201,7 +207,10 @@
     let blamed = holders.record_delivery(&assignments, is_missing, now);
     assert_eq!(blamed.contains(&"strong-0".into()), expected);
     let services = create_services(90);
-    let used = holder_of(&holders.assign(&services, &"weak-9".into(), now), 90);
+    let used = holder_of(
+        &holders.assign(&services, &"weak-9".into(), |_| false, now),
+        90,
+    );
     assert_eq!(used.contains(&"strong-0".into()), !expected);
     assert!(used.contains(&"strong-1".into()));
 }
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -430,6 +430,14 @@
         }
     }
 
+    /// Forgets failures and refused connections, as if there had been none.
+    pub(crate) fn forget_failures(&mut self) {
+        self.clear_failures();
+        self.error_rate = ErrorRate::default();
+        self.share = self.full_share.unwrap_or(u16::MAX);
+        self.regrow_start = None;
+    }
+
     fn clear_failures(&mut self) {
         self.failures = 0;
         self.paused_until = None;
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Forgets the failures of all upstreams, because they were those of this node's own links.
+    pub fn forget_failures(&mut self) {
+        for gate in self.gates.values_mut() {
+            gate.forget_failures();
+        }
+    }
+
     /// Changes how many connections to a registered upstream this node may use.
     pub fn set_share(&mut self, key: GateKey, share: u32) {
         if let Some(gate) = self.gates.get_mut(key) {
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -101,6 +101,9 @@
             pool: plan.pool,
         };
         let mut services: Vec<ServiceState> = plan.services.iter().map(new_state).collect();
+        for (state, used) in services.iter_mut().zip(&plan.used) {
+            state.runs = *used;
+        }
         for index in &plan.delegated {
             if let Some(state) = services.get_mut(*index) {
                 state.delegated = true;
@@ -145,6 +148,24 @@
         is_counted && !self.replied && !self.done
     }
 
+    /// Returns for each service the number of attempts that ran or may have run, those outstanding included.
+    pub fn runs(&self) -> impl Iterator<Item = u32> {
+        self.services.iter().map(|state| state.runs)
+    }
+
+    /// Returns whether this node itself sends the attempts for all services that have no part yet.
+    pub fn sends_itself(&self) -> bool {
+        let is_delegated =
+            |state: &ServiceState| state.progress == Progress::Open && state.delegated;
+        !self.services.iter().any(is_delegated)
+    }
+
+    /// Returns the service that an outstanding attempt is for.
+    pub fn service_of(&self, id: AttemptId) -> Option<usize> {
+        let is_outstanding = |state: &ServiceState| state.outstanding.contains(&id);
+        self.services.iter().position(is_outstanding)
+    }
+
     /// Returns whether any server has replied.
     pub fn has_replies(&self) -> bool {
         self.replied
@@ -209,6 +230,10 @@
                 self.end_careful(now, env, &mut actions);
             }
             GatherEvent::GivenUp(index, runs) => self.give_up(index, runs),
+            GatherEvent::Delegated(index, runs) => self.delegate_again(index, runs),
+            GatherEvent::Returned(index, runs) => {
+                self.take_back(index, runs, now, env, &mut actions)
+            }
             GatherEvent::HolderLost {
                 services,
                 may_have_run,
@@ -250,7 +275,8 @@
                 state.runs = 1;
                 continue;
             }
-            self.send(index, AttemptKind::Primary, now, env, actions);
+            let kind = first_kind(state.runs);
+            self.send(index, kind, now, env, actions);
         }
     }
 
@@ -326,6 +352,15 @@
         }
     }
 
+    fn delegate_again(&mut self, index: usize, runs: u32) {
+        if let Some(state) = self.services.get_mut(index)
+            && state.delegated
+        {
+            // The other holder may send an attempt from now on.
+            state.runs = runs + 1;
+        }
+    }
+
     fn give_up(&mut self, index: usize, runs: u32) {
         if let Some(state) = self.services.get_mut(index)
             && state.delegated
@@ -347,23 +382,33 @@
         env: &mut GatherEnv<'_>,
         actions: &mut Vec<GatherAction>,
     ) {
+        let runs = match may_have_run {
+            true => self.plan.max_runs.saturating_sub(1).max(1),
+            false => 0,
+        };
         for &index in services {
-            let Some(state) = self.services.get_mut(index) else {
-                continue;
-            };
-            if !state.delegated || state.progress != Progress::Open {
-                continue;
-            }
-            state.delegated = false;
-            let kind = if may_have_run {
-                state.runs = self.plan.max_runs.saturating_sub(1).max(1);
-                AttemptKind::Retry
-            } else {
-                state.runs = 0;
-                AttemptKind::Primary
-            };
-            self.send(index, kind, now, env, actions);
+            self.take_back(index, runs, now, env, actions);
+        }
+    }
+
+    /// Sends the attempts for a delegated service from here, after some that ran or may have run.
+    fn take_back(
+        &mut self,
+        index: usize,
+        runs: u32,
+        now: Instant,
+        env: &mut GatherEnv<'_>,
+        actions: &mut Vec<GatherAction>,
+    ) {
+        let Some(state) = self.services.get_mut(index) else {
+            return;
+        };
+        if !state.delegated || state.progress != Progress::Open {
+            return;
         }
+        state.delegated = false;
+        state.runs = runs;
+        self.send(index, first_kind(runs), now, env, actions);
     }
 
     fn receive_failure(
@@ -374,8 +419,7 @@
         env: &mut GatherEnv<'_>,
         actions: &mut Vec<GatherAction>,
     ) {
-        let is_outstanding = |state: &ServiceState| state.outstanding.contains(&id);
-        let Some(index) = self.services.iter().position(is_outstanding) else {
+        let Some(index) = self.service_of(id) else {
             return;
         };
         if *failure == Failure::Broken && !self.replied && self.plan.repeatable {
@@ -411,10 +455,9 @@
             }
             if state.retry_at.is_some_and(|due| due <= now) {
                 state.retry_at = None;
-                let kind = if state.runs == 0 && state.sent == 0 {
-                    AttemptKind::Primary
-                } else {
-                    AttemptKind::Retry
+                let kind = match state.sent {
+                    0 => first_kind(state.runs),
+                    _ => AttemptKind::Retry,
                 };
                 self.send(index, kind, now, env, actions);
             } else if state.hedge_at.is_some_and(|due| due <= now) {
@@ -601,6 +644,14 @@
     }
 }
 
+/// Returns the kind of a node's first attempt at a service, of which other nodes have made some.
+fn first_kind(runs: u32) -> AttemptKind {
+    match runs {
+        0 => AttemptKind::Primary,
+        _ => AttemptKind::Retry,
+    }
+}
+
 fn is_usable(limits: &Limits, key: GateKey, now: Instant) -> bool {
     matches!(
         limits.check(key, now),
--- a/crates/query/src/gather_event.rs
+++ b/crates/query/src/gather_event.rs
@@ -31,6 +31,8 @@
     pub delegated: Vec<usize>,
     /// Whether the request is suspected of crashing servers, so that it is sent to one at a time until one answers.
     pub careful: bool,
+    /// Attempts at each service that another node has made already, or none.
+    pub used: Vec<u32>,
     /// Budget for the repeats of the services that are not delegated.
     pub pool: RepeatPool,
     /// Maximum number of servers of one service on which the request may run.
@@ -78,6 +80,10 @@
     Delivered(usize, AttemptId),
     /// A holder gave up a delegated service, after this many attempts that ran or may have run.
     GivenUp(usize, u32),
+    /// A holder can't go on with a delegated service, after this many attempts that ran or may have run.
+    Returned(usize, u32),
+    /// Another holder was asked for a delegated service, after this many attempts that ran or may have run.
+    Delegated(usize, u32),
     /// A holder can't be relied on any more for these services.
     HolderLost {
         /// Indices of the services in [`GatherPlan::services`].
--- a/crates/query/tests/careful.rs
+++ b/crates/query/tests/careful.rs
@@ -63,6 +63,7 @@
             repeatable: true,
             careful,
             delegated: Vec::new(),
+            used: Vec::new(),
             pool: RepeatPool::Shared,
             max_runs: 3,
             objective: start + ms(250),
--- a/crates/query/tests/delegated.rs
+++ b/crates/query/tests/delegated.rs
@@ -65,6 +65,7 @@
             repeatable: true,
             careful: false,
             delegated: delegated.to_vec(),
+            used: Vec::new(),
             pool: RepeatPool::Holder,
             max_runs,
             objective: now + Duration::from_millis(250),
--- a/crates/query/tests/gather.rs
+++ b/crates/query/tests/gather.rs
@@ -69,6 +69,7 @@
             repeatable,
             careful: false,
             delegated: Vec::new(),
+            used: Vec::new(),
             pool: RepeatPool::Shared,
             max_runs: 2,
             objective: start + ms(250),
