gateway: a planned stop takes no request that it may have to cut off

Operators of similar systems saw requests that came late in the grace period of a stop be taken, and cut off at its end without an answer, also such that may run once. Cause here: a stopping gateway took new requests until it ended, and dropped those in progress. Change: new requests are refused with 503 once idle connections are closed (2.5 s, or half of the grace period); what is left at the end is answered with 502, or 503 if nothing of it was sent.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -114,6 +114,10 @@
     pub(crate) headers: HeaderNames,
     pub(crate) platform: Box<dyn Platform>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether new requests are refused, because they might not end within the grace period.
+    pub(crate) refusing: Cell<bool>,
+    /// Wakes requests in progress when the process is about to end.
+    pub(crate) ending: Notify,
     /// Facts that the gateways tell each other.
     pub(crate) facts: Rc<Facts>,
     /// Whether this gateway reaches any server.
@@ -178,6 +182,8 @@
             headers: platform.headers(),
             platform,
             stopping: Cell::new(false),
+            refusing: Cell::new(false),
+            ending: Notify::new(),
             facts: Rc::new(facts),
             links: Links::new(),
             store_changed: Notify::new(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -40,6 +40,7 @@
 use crate::admit::admit;
 use crate::answer::Answer;
 use crate::answer::forward_reply;
+use crate::answer::refuse;
 use crate::answer::refuse_for;
 use crate::answer::reply_error;
 use crate::attempt::AttemptError;
@@ -112,7 +113,11 @@
     origin: Origin,
 ) -> Answer {
     let arrived = Instant::now();
-    let mut answer = match admit(&node, request, arrived).await {
+    let admitted = match node.refusing.get() {
+        true => Err(refuse("this gateway is stopping")),
+        false => admit(&node, request, arrived).await,
+    };
+    let mut answer = match admitted {
         Ok(mut admitted) => {
             if let Origin::Gateway { used } = &origin {
                 admitted.used.clone_from(used);
@@ -229,6 +234,7 @@
                 None => GatherEvent::Wake,
             },
             () = node.links.lost.notified() => GatherEvent::Wake,
+            () = node.ending.notified() => break run.classify_end(&gather),
             () = tokio::time::sleep_until(wake.into()) => GatherEvent::Wake,
         };
         outcome = run.apply_event(&mut gather, event);
@@ -264,6 +270,15 @@
         (run, received)
     }
 
+    /// Ends the request because the process ends before its servers have replied.
+    fn classify_end(&mut self, gather: &Gather) -> GatherOutcome {
+        self.reason = "this gateway is stopping";
+        match self.may_have_run(gather) {
+            true => GatherOutcome::Failed,
+            false => GatherOutcome::NotRun,
+        }
+    }
+
     /// Returns whether any attempt has run or may have run; one whose connection is not open yet has not.
     fn may_have_run(&self, gather: &Gather) -> bool {
         self.count_runs(gather).iter().any(|runs| *runs > 0)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -41,6 +41,9 @@
 /// Time before the end of the grace period at which the process ends even with requests in progress.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time for the answers to requests that are ended at the end of the grace period.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// Interval at which a stopping process checks whether every connection is closed.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -181,6 +184,7 @@
     node.stopping.set(true);
     log::info!(callers = node.caller_connections.get(); "gateway: stopping");
     tokio::time::sleep(NOTICE_TIME.min(grace / 2)).await;
+    node.refusing.set(true);
     // Sending fails only if every receiver is gone, and with them the connections to close.
     let _ = close.send(true);
     let end = began + grace.saturating_sub(END_MARGIN);
@@ -188,6 +192,10 @@
     while is_busy() && Instant::now() < end {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
+    if is_busy() {
+        node.ending.notify_waiters();
+        tokio::time::sleep(ANSWER_TIME).await;
+    }
     let (callers, delegations) = (node.caller_connections.get(), node.delegations.get());
     log::info!(callers, delegations; "gateway: stopped");
 }
