gateway, limit: servers that are leaving or want nothing for a time are believed from their replies

New rules of the users: a server that leaves says so in all its answers, and one that turns a request away with 503 may name a time before which it wants nothing. Both were read nowhere, so that a VM that the store doesn't reach went on sending to a leaving server, and a busy server got retries at once. Change: record_notices reads both from the head of a complete reply; the gate, which every attempt passes, blocks a leaving server after 0.5 s and a postponing one until its time. If all servers of a service postpone, the request is refused at once with that time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -31,6 +31,7 @@
 use crate::named_limit::record_named_limit;
 use crate::node::CountGuard;
 use crate::node::Node;
+use crate::notices::record_notices;
 use crate::pool::Connection;
 use crate::pool::connect;
 use crate::pool::parse_keep_alive;
@@ -242,6 +243,7 @@
         return fail(Failure::NotRun, "another server has the address");
     }
     record_named_limit(node, &endpoint.id, &head, sent);
+    record_notices(node, key, &endpoint.id, &head);
     if outgoing.repeatable {
         return_connection(node, connection, key, &head.headers);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod metrics;
 mod named_limit;
 mod node;
+mod notices;
 mod pacing;
 mod packed;
 mod peers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     AttemptLost = "attempts_lost",
     AttemptBroken = "attempts_broken",
     AttemptLimited = "attempts_to_limited_servers",
+    ServerLeaving = "servers_leaving",
+    ServerHold = "servers_postponing",
     LimitNamed = "server_limits_named",
     RequestForwarded = "requests_forwarded",
     RequestServedForPeer = "requests_served_for_others",
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -52,6 +52,8 @@
     pub not_run: HeaderName,
     /// Requests a second that a server takes from all gateways together, in the replies of a server in need.
     pub rate_limit: HeaderName,
+    /// Present in the replies of a server that is about to leave.
+    pub leaving: HeaderName,
     /// Era of the store in each of its replies.
     pub store_era: HeaderName,
     /// Signatures of the parts of a merged answer.
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -20,6 +20,12 @@
 use crate::filtered_mean::FilteredMean;
 use crate::latency::LatencyHistogram;
 
+/// Time for which an upstream that is leaving still gets requests, so that the others don't get all at one moment.
+const LEAVE_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time for which an upstream can keep requests away.
+const MAX_HOLD: Duration = Duration::from_secs(600);
+
 /// Time over which a cold upstream ramps up to its full concurrency.
 const RAMP_TIME: Duration = Duration::from_secs(5);
 
@@ -72,6 +78,10 @@
     mean: Ewma,
     ramp_start: Option<Instant>,
     draining_since: Option<Instant>,
+    /// Time from which the upstream gets nothing more, because it is leaving.
+    leaving_at: Option<Instant>,
+    /// Time until which the upstream wants no requests from this node.
+    held_until: Option<Instant>,
     failures: u8,
     silent_attempts: u8,
     paused_until: Option<Instant>,
@@ -100,6 +110,8 @@
             mean: Ewma::default(),
             ramp_start: None,
             draining_since: None,
+            leaving_at: None,
+            held_until: None,
             failures: 0,
             silent_attempts: 0,
             paused_until: None,
@@ -204,6 +216,12 @@
         if tuning.drain && self.draining_since.is_some() {
             return Err(Blocked::Draining);
         }
+        if self.leaving_at.is_some_and(|at| now >= at) {
+            return Err(Blocked::Draining);
+        }
+        if !self.hold_left(now).is_zero() {
+            return Err(Blocked::Quota);
+        }
         if tuning.backoff
             && (self.is_paused(now) || (self.paused_until.is_some() && self.trial_in_flight))
         {
@@ -333,6 +351,26 @@
         }
     }
 
+    /// Records that the upstream is leaving; returns whether that is new.
+    pub(crate) fn record_leaving(&mut self, now: Instant) -> bool {
+        let is_new = self.leaving_at.is_none();
+        self.leaving_at.get_or_insert(now + LEAVE_TIME);
+        is_new
+    }
+
+    /// Records that the upstream wants no requests from this node for a time; returns whether that is new.
+    pub(crate) fn record_hold(&mut self, time: Duration, now: Instant) -> bool {
+        let is_new = self.hold_left(now).is_zero();
+        self.held_until = self.held_until.max(Some(now + time.min(MAX_HOLD)));
+        is_new
+    }
+
+    /// Returns the rest of the time for which the upstream wants no requests.
+    pub(crate) fn hold_left(&self, now: Instant) -> Duration {
+        let held_until = self.held_until.unwrap_or(now);
+        held_until.saturating_duration_since(now)
+    }
+
     /// Estimates how long one more attempt would take, in microseconds.
     ///
     /// Every attempt in flight counts in full: with a smaller weight, all queries of the same moment go to the replica
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -338,10 +338,23 @@
         self.quotas.set_share(upstream, share, now, rng)
     }
 
-    /// Returns the time until the limit of an upstream allows this node to send a request.
+    /// Returns the time until an upstream takes a request of this node, as far as its limit and its refusals say.
     pub fn quota_wait(&self, key: GateKey, now: Instant) -> Duration {
-        self.gate(key)
-            .map_or(Duration::ZERO, |gate| self.quotas.wait(gate.id(), now))
+        self.gate(key).map_or(Duration::ZERO, |gate| {
+            self.quotas.wait(gate.id(), now).max(gate.hold_left(now))
+        })
+    }
+
+    /// Records that an upstream is leaving: shortly after, it gets nothing more. Returns whether that is new.
+    pub fn record_leaving(&mut self, key: GateKey, now: Instant) -> bool {
+        let gate = self.gates.get_mut(key);
+        gate.is_some_and(|gate| gate.record_leaving(now))
+    }
+
+    /// Records that an upstream wants no requests from this node for a time; returns whether that is new.
+    pub fn record_hold(&mut self, key: GateKey, time: Duration, now: Instant) -> bool {
+        let gate = self.gates.get_mut(key);
+        gate.is_some_and(|gate| gate.record_hold(time, now))
     }
 
     /// Drops the limits of upstreams that were removed long ago.
