--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -62,7 +62,7 @@
     /// Grows with each change that is not just further evidence; of two facts the one with the higher generation holds.
     pub(crate) generation: u32,
     pub(crate) state: State,
-    /// Times that the request was blocked.
+    /// Times that a block was confirmed by a try.
     pub(crate) level: u8,
     /// Servers lost one after the other, at most [`BLOCK_AFTER`], in ascending order.
     pub(crate) servers: Vec<ServerHash>,
@@ -100,11 +100,19 @@
         at < BLOCK_AFTER
     }
 
-    /// Blocks the request; each confirmation doubles the time.
-    pub(crate) fn block(&mut self, now: Instant) {
-        self.state = State::Blocked;
+    /// Returns whether the request is blocked until the end of the state. A suspicion with enough lost servers is a block, so
+    /// that nodes which merge the same facts in another order believe the same.
+    pub(crate) fn is_block(&self) -> bool {
+        match self.state {
+            State::Blocked => true,
+            State::Suspected => self.servers.len() >= BLOCK_AFTER,
+            State::Cleared | State::Trial => false,
+        }
+    }
+
+    /// Starts the time of a block; each confirmation doubles it.
+    pub(crate) fn start_block(&mut self, now: Instant) {
         self.until = now + block_time(self.level);
-        self.level = self.level.saturating_add(1);
         self.shared = true;
     }
 
@@ -123,9 +131,9 @@
 
     /// Returns whether the entry is of no use any more.
     pub(crate) fn is_expired(&self, now: Instant) -> bool {
-        let kept = match self.state {
-            State::Cleared | State::Suspected => Duration::ZERO,
-            State::Trial | State::Blocked => PROBATION_TIME,
+        let kept = match self.is_block() || self.state == State::Trial {
+            true => PROBATION_TIME,
+            false => Duration::ZERO,
         };
         now >= self.until + kept
     }
--- a/crates/suspect/src/fact.rs
+++ b/crates/suspect/src/fact.rs
@@ -28,7 +28,7 @@
     pub generation: u32,
     /// How far the suspicion has come.
     pub state: State,
-    /// Times that the request was blocked.
+    /// Times that a block was confirmed by a try.
     pub level: u8,
     /// Time until the state ends.
     pub left: Duration,
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -14,7 +14,6 @@
 use crate::RequestHash;
 use crate::RequestKey;
 use crate::State;
-use crate::entry::BLOCK_AFTER;
 use crate::entry::CLEARED_TIME;
 use crate::entry::Entry;
 use crate::entry::SUSPECT_TIME;
@@ -81,24 +80,25 @@
             self.entries.remove(&key.request);
             return Verdict::Clear;
         }
+        let is_closed = entry.is_block() || entry.state == State::Trial;
+        if is_closed && now < entry.until {
+            return Verdict::Blocked(entry.info(now));
+        }
+        if is_closed {
+            entry.set_state(State::Trial, TRIAL_TIME, &self.node, now);
+        }
         match entry.state {
             State::Cleared => Verdict::Clear,
-            State::Suspected => Verdict::Careful,
-            State::Trial | State::Blocked if now < entry.until => Verdict::Blocked(entry.info(now)),
-            State::Trial | State::Blocked => {
-                entry.set_state(State::Trial, TRIAL_TIME, &self.node, now);
-                Verdict::Careful
-            }
+            State::Suspected | State::Trial | State::Blocked => Verdict::Careful,
         }
     }
 
     /// Returns whether a request that this node has accepted earlier is blocked by now; the node's own try of it is not.
     pub fn is_blocked(&self, key: RequestKey, now: Instant) -> bool {
         let entry = self.entries.get(&key.request);
-        entry.is_some_and(|entry| match entry.state {
-            State::Blocked => now < entry.until,
-            State::Trial => now < entry.until && entry.origin != self.node,
-            State::Cleared | State::Suspected => false,
+        entry.is_some_and(|entry| {
+            let is_others_trial = entry.state == State::Trial && entry.origin != self.node;
+            now < entry.until && (entry.is_block() || is_others_trial)
         })
     }
 
@@ -119,27 +119,26 @@
             *entry = Entry::new(key.caller, node.clone(), now);
             entry.generation = generation.saturating_add(1);
         }
-        match entry.state {
-            State::Trial => {
-                entry.set_state(State::Blocked, Duration::ZERO, &node, now);
-                entry.block(now);
-                Change::Blocked
-            }
-            State::Blocked => Change::None,
-            State::Suspected | State::Cleared => {
-                let is_new = entry.add_server(hash_key(server) as u32);
-                entry.until = now + SUSPECT_TIME;
-                entry.origin = entry.origin.clone().min(node);
-                entry.shared |= !repeatable || entry.servers.len() > 1;
-                if entry.servers.len() >= BLOCK_AFTER {
-                    entry.block(now);
-                    Change::Blocked
-                } else if is_new && entry.shared {
-                    Change::News
-                } else {
-                    Change::None
-                }
-            }
+        if entry.state == State::Trial {
+            entry.set_state(State::Blocked, Duration::ZERO, &node, now);
+            entry.level = entry.level.saturating_add(1);
+            entry.start_block(now);
+            return Change::Blocked;
+        }
+        if entry.is_block() {
+            return Change::None;
+        }
+        let is_new = entry.add_server(hash_key(server) as u32);
+        entry.until = now + SUSPECT_TIME;
+        entry.origin = entry.origin.clone().min(node);
+        entry.shared |= !repeatable || entry.servers.len() > 1;
+        if entry.is_block() {
+            entry.start_block(now);
+            return Change::Blocked;
+        }
+        match is_new && entry.shared {
+            true => Change::News,
+            false => Change::None,
         }
     }
 
@@ -186,7 +185,7 @@
         let is_newer = known.is_none_or(|known| known < fact.generation);
         let entry = self.find_or_insert(fact.key, now);
         if is_newer {
-            let was_blocked = entry.state == State::Blocked && entry.level > 0;
+            let was_block = entry.is_block();
             entry.generation = fact.generation;
             entry.state = fact.state;
             entry.level = fact.level;
@@ -194,9 +193,9 @@
             entry.until = until;
             entry.origin = fact.origin.clone();
             entry.shared = true;
-            return match fact.state {
-                State::Blocked if !was_blocked => Change::Blocked,
-                _ => Change::News,
+            return match entry.is_block() && !was_block {
+                true => Change::Blocked,
+                false => Change::News,
             };
         }
         merge_evidence(entry, fact, now)
@@ -258,7 +257,7 @@
             .iter()
             .filter(|(_, entry)| entry.caller == victim)
             // A block matters more than a suspicion.
-            .min_by_key(|(request, entry)| (entry.state, entry.until, **request))
+            .min_by_key(|(request, entry)| (entry.is_block(), entry.until, **request))
             .map(|(request, _)| *request);
         if let Some(oldest) = oldest {
             self.entries.remove(&oldest);
@@ -269,6 +268,7 @@
 /// Merges evidence of the same generation: the servers of both, the later state, and the earlier end of it.
 fn merge_evidence(entry: &mut Entry, fact: &Fact, now: Instant) -> Change {
     let until = now + fact.left;
+    let was_block = entry.is_block();
     let mut is_new = false;
     for server in &fact.servers {
         is_new |= entry.add_server(*server);
@@ -278,22 +278,20 @@
     if fact.origin < entry.origin {
         entry.origin.clone_from(&fact.origin);
     }
-    if fact.state > entry.state {
+    let is_later = fact.state > entry.state;
+    if is_later {
         entry.state = fact.state;
         entry.until = until;
-        return match fact.state {
-            State::Blocked => Change::Blocked,
-            _ => Change::News,
-        };
+    } else if fact.state == entry.state && was_block {
+        entry.until = entry.until.min(until);
     }
-    if entry.state == State::Suspected && entry.servers.len() >= BLOCK_AFTER {
-        entry.block(now);
+    if entry.is_block() && !was_block {
+        if !is_later {
+            entry.start_block(now);
+        }
         return Change::Blocked;
     }
-    if fact.state == entry.state && entry.state != State::Suspected {
-        entry.until = entry.until.min(until);
-    }
-    match is_new {
+    match is_new || is_later {
         true => Change::News,
         false => Change::None,
     }
