gateway: a forwarded request is given time before another gateway repeats it, within the runs that its route allows

Read in the diff: a gateway that had not replied within the objective was given up, and the next one began anew, so that a slow answer could run on more servers than the route allows. Change: four times the objective, and after a lost reply one run of each service is left at most. Invalid lines of facts are counted in one log line for each exchange.

--- a/crates/gateway/src/facts.rs
+++ b/crates/gateway/src/facts.rs
@@ -185,6 +185,7 @@
     fn merge(&self, text: &str) {
         let now = Instant::now();
         let mut inner = self.inner.borrow_mut();
+        let mut invalid = 0;
         for line in text.lines() {
             if let Some(fact) = ReachFact::parse(line) {
                 let is_cut = inner.is_cut;
@@ -195,7 +196,7 @@
                 continue;
             }
             let Some(fact) = Fact::parse(line) else {
-                log::warn!(line; "facts: ignored a line that is not a fact");
+                invalid += 1;
                 continue;
             };
             let change = inner.suspects.merge(&fact, now);
@@ -208,6 +209,9 @@
                 inner.announce(fact.key, change, FORWARD_FANOUT, &self.news);
             }
         }
+        if invalid > 0 {
+            log::warn!(invalid; "facts: ignored lines that are no facts");
+        }
     }
 
     fn encode(&self) -> String {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::Peer;
+use crate::Route;
 use crate::answer::Answer;
 use crate::answer::refuse;
 use crate::answer::reply_error;
@@ -45,19 +46,30 @@
 /// Longest time to wait for a connection to a gateway, several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Shortest time after which a gateway that has not replied to a repeatable request is given up.
-const MIN_PATIENCE: Duration = Duration::from_millis(400);
+/// Multiple of the objective after which a gateway that has not replied to a repeatable request is given up; servers may be
+/// slow, and asking another gateway repeats their work.
+const PATIENCE_FACTOR: u32 = 4;
 
 /// A request to forward.
 pub(crate) struct Forwarding<'a> {
     pub(crate) outgoing: &'a OutgoingRequest,
-    pub(crate) objective: Duration,
+    pub(crate) route: &'a Route,
     pub(crate) revision: Revision,
     /// Attempts at each service that may have run, or none.
     pub(crate) used: Vec<u32>,
 }
 
 impl Forwarding<'_> {
+    /// Records that a gateway may have sent attempts: one more at each service is all that the route surely allows.
+    fn record_lost(&mut self) {
+        let least = self.route.max_runs.saturating_sub(1).max(1);
+        let services = self.route.target.fan_out() as usize;
+        self.used.resize(services, 0);
+        for used in &mut self.used {
+            *used = (*used).max(least);
+        }
+    }
+
     fn encode(&self) -> String {
         let used: Vec<String> = self.used.iter().map(u32::to_string).collect();
         format!("{};{}", self.revision, used.join(","))
@@ -93,7 +105,7 @@
 }
 
 /// Forwards a request to gateways that reach servers, one after the other, until one answers.
-pub(crate) async fn forward(node: &Rc<Node>, forwarding: &Forwarding<'_>) -> Forwarded {
+pub(crate) async fn forward(node: &Rc<Node>, mut forwarding: Forwarding<'_>) -> Forwarded {
     let outgoing = forwarding.outgoing;
     let mut asked = Vec::new();
     let mut may_have_run = false;
@@ -103,10 +115,10 @@
         };
         asked.push(helper.node.clone());
         let patience = match outgoing.repeatable {
-            true => forwarding.objective.max(MIN_PATIENCE),
+            true => forwarding.route.objective * PATIENCE_FACTOR,
             false => outgoing.deadline.saturating_duration_since(Instant::now()),
         };
-        let asking = ask(node, forwarding, &helper);
+        let asking = ask(node, &forwarding, &helper);
         match tokio::time::timeout(patience, asking).await {
             Ok(Ok(answer)) => {
                 node.state
@@ -122,6 +134,7 @@
                 if !outgoing.repeatable {
                     break;
                 }
+                forwarding.record_lost();
             }
         }
     }
--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -54,6 +54,13 @@
     pub services: Vec<usize>,
 }
 
+impl Assignment {
+    /// Returns whether a holder sends to the services.
+    pub(crate) fn is_delegated(&self) -> bool {
+        self.holder.is_some()
+    }
+}
+
 /// The holders of one zone, as seen by one of its gateways.
 #[derive(Debug, Default)]
 pub struct Holders {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -174,15 +174,15 @@
     let started = Instant::now();
     let mut guard = AbandonGuard { node, ended: false };
     let assignments = assign_services(node, &admitted.route);
-    let is_delegated = !assignments.is_empty() && assignments.iter().all(|a| a.holder.is_some());
+    let is_delegated = !assignments.is_empty() && assignments.iter().all(Assignment::is_delegated);
     if origin == Origin::Caller && !is_delegated && !is_sent_from_here(node) {
         let forwarding = Forwarding {
             outgoing: &admitted.outgoing,
-            objective: admitted.route.objective,
+            route: &admitted.route,
             revision: admitted.revision,
             used: Vec::new(),
         };
-        let forwarded = forward(node, &forwarding).await;
+        let forwarded = forward(node, forwarding).await;
         guard.ended = true;
         match forwarded {
             Forwarded::Answered(answer) => return answer,
@@ -305,12 +305,12 @@
         self.tasks.abort_all();
         let forwarding = Forwarding {
             outgoing: &self.outgoing,
-            objective: self.route.objective,
+            route: &self.route,
             revision: self.revision,
             used,
         };
         let forwarded = match origin {
-            Origin::Caller => forward(self.node, &forwarding).await,
+            Origin::Caller => forward(self.node, forwarding).await,
             Origin::Gateway { .. } => Forwarded::NotTaken,
         };
         let answer = match forwarded {
