--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -46,10 +46,6 @@
 /// Longest time to wait for a connection to a gateway, several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Multiple of the objective after which a gateway that has not replied to a repeatable request is given up; servers may be
-/// slow, and asking another gateway repeats their work.
-const PATIENCE_FACTOR: u32 = 4;
-
 /// A request to forward.
 pub(crate) struct Forwarding<'a> {
     pub(crate) outgoing: &'a OutgoingRequest,
@@ -114,12 +110,10 @@
             break;
         };
         asked.push(helper.node.clone());
-        let patience = match outgoing.repeatable {
-            true => forwarding.route.objective * PATIENCE_FACTOR,
-            false => outgoing.deadline.saturating_duration_since(Instant::now()),
-        };
+        // A gateway that is silent may be waiting for slow servers, and another one would repeat their work.
+        let left = outgoing.deadline.saturating_duration_since(Instant::now());
         let asking = ask(node, &forwarding, &helper);
-        match tokio::time::timeout(patience, asking).await {
+        match tokio::time::timeout(left, asking).await {
             Ok(Ok(answer)) => {
                 node.state
                     .borrow_mut()
