gateway: careful attempts open new connections

Change: while a request is careful, its attempts take no idle connection; a new one that can't be opened is no evidence. No test of its own yet: deadly.rs plays no reset idle connections.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -128,13 +128,14 @@
     outgoing: Rc<OutgoingRequest>,
     permit: Permit,
     written: Rc<Cell<bool>>,
+    careful: bool,
 ) -> Result<Reply, AttemptError> {
     let key = permit.key();
     let mut guard = PermitGuard {
         node: Rc::clone(&node),
         permit: Some(permit),
     };
-    let result = watch_exchange(&node, exchange(&node, &outgoing, key, &written)).await;
+    let result = watch_exchange(&node, exchange(&node, &outgoing, key, &written, careful)).await;
     if let Err(error) = &result
         && error.failure == Failure::Broken
     {
@@ -199,12 +200,18 @@
     outgoing: &OutgoingRequest,
     key: GateKey,
     written: &Cell<bool>,
+    careful: bool,
 ) -> Result<Reply, AttemptError> {
     let endpoint = node.state.borrow().directory.endpoint(key).cloned();
     let Some(endpoint) = endpoint else {
         return fail_unsent("the server is no longer registered");
     };
-    let mut connection = match take_idle_connection(node, outgoing, key) {
+    let idle = match careful {
+        // An idle connection may have been reset long ago, which says nothing about the request.
+        true => None,
+        false => take_idle_connection(node, outgoing, key),
+    };
+    let mut connection = match idle {
         Some(connection) => connection,
         None => open_connection(node, key, endpoint.addr, outgoing.repeatable).await?,
     };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -408,7 +408,7 @@
                     id, kind, permit, ..
                 } => {
                     self.count_attempt(kind);
-                    self.send(id, permit, now);
+                    self.send(id, permit, now, gather.is_careful());
                 }
                 GatherAction::Finish(end) => outcome = Some(end),
             }
@@ -453,7 +453,7 @@
         self.node.state.borrow_mut().metrics.count(counter);
     }
 
-    fn send(&mut self, id: AttemptId, permit: Permit, now: Instant) {
+    fn send(&mut self, id: AttemptId, permit: Permit, now: Instant, careful: bool) {
         let endpoint = {
             let state = self.node.state.borrow();
             state.directory.endpoint(permit.key()).cloned()
@@ -470,7 +470,7 @@
         let written = Rc::new(Cell::new(false));
         self.written.insert(id, Rc::clone(&written));
         self.tasks.spawn_local(async move {
-            let result = send_attempt(node, outgoing, permit, written).await;
+            let result = send_attempt(node, outgoing, permit, written, careful).await;
             // The receiver is gone if the request has ended meanwhile.
             let _ = results.send(Progress::Ended(id, result));
         });
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -166,6 +166,11 @@
         self.services.iter().position(is_outstanding)
     }
 
+    /// Returns whether attempts are sent one at a time, because the request may crash servers.
+    pub fn is_careful(&self) -> bool {
+        self.careful.is_some()
+    }
+
     /// Returns whether any server has replied.
     pub fn has_replies(&self) -> bool {
         self.replied
