gateway: a request that is answered as not run has no attempt left that can send

Cause: the outcome was read off what the attempts had written, and `finish` let them go on for 250 ms. An attempt that may run once waits a round trip and 8 ms on its new connection before it sends, and sent after the request had been judged. Change: an attempt shares a `SendGate` with its request. The request withdraws at it what it counts as not run, in one step, and `finish` withdraws the rest, whatever the outcome and also for requests that may be repeated. The end of the process is an event of `Gather`, which answers with the parts that are in if they are enough.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,5 @@
 //! Sends one attempt to a server and classifies its reply.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -35,6 +34,7 @@
 use crate::pool::Connection;
 use crate::pool::connect;
 use crate::pool::parse_keep_alive;
+use crate::send_gate::SendGate;
 
 /// Longest time to wait for a connection; a server that takes longer is unreachable or hangs.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -122,12 +122,13 @@
     }
 }
 
-/// Sends one attempt and waits for the whole reply; `written` is set before any byte of it is sent. Dropping the future before that closes the connection.
+/// Sends one attempt, unless it is withdrawn, and waits for the whole reply. Dropping the future before that closes the
+/// connection.
 pub(crate) async fn send_attempt(
     node: Rc<Node>,
     outgoing: Rc<OutgoingRequest>,
     permit: Permit,
-    written: Rc<Cell<bool>>,
+    gate: Rc<SendGate>,
     careful: bool,
 ) -> Result<Reply, AttemptError> {
     let key = permit.key();
@@ -135,7 +136,7 @@
         node: Rc::clone(&node),
         permit: Some(permit),
     };
-    let result = watch_exchange(&node, exchange(&node, &outgoing, key, &written, careful)).await;
+    let result = watch_exchange(&node, exchange(&node, &outgoing, key, &gate, careful)).await;
     if let Err(error) = &result
         && error.failure == Failure::Broken
     {
@@ -199,7 +200,7 @@
     node: &Rc<Node>,
     outgoing: &OutgoingRequest,
     key: GateKey,
-    written: &Cell<bool>,
+    gate: &SendGate,
     careful: bool,
 ) -> Result<Reply, AttemptError> {
     let endpoint = node.state.borrow().directory.endpoint(key).cloned();
@@ -216,8 +217,13 @@
         None => open_connection(node, key, endpoint.addr, outgoing.repeatable).await?,
     };
     let request = build_request(node, outgoing, endpoint.id.as_str())?;
+    if !gate.open() {
+        if outgoing.repeatable {
+            return_connection(node, connection, key, &HeaderMap::new());
+        }
+        return fail_unsent("the request has ended");
+    }
     let sent = Instant::now();
-    written.set(true);
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -225,7 +225,7 @@
     indices: &[usize],
     frames: &mpsc::UnboundedSender<Frame>,
 ) {
-    let runs = run.count_runs(gather);
+    let runs = run.end_attempts(gather);
     for service in gather.unanswered_services() {
         // The receiver lives as long as the future that calls this.
         let _ = frames.send(Frame::Returned {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,5 @@
 //! Runs one request of a caller, from its arrival to its answer.
 
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -63,6 +62,7 @@
 use crate::plan::assign_among;
 use crate::plan::assign_services;
 use crate::plan::build_plan;
+use crate::send_gate::SendGate;
 
 /// Time for which attempts that are no longer needed may complete before they are cancelled, since cancelling closes
 /// their connections.
@@ -160,8 +160,8 @@
     failure: Option<Reply>,
     /// Send times of the attempts to servers in the same zone.
     sent: HashMap<AttemptId, Instant>,
-    /// Whether anything of each outstanding attempt was sent.
-    written: HashMap<AttemptId, Rc<Cell<bool>>>,
+    /// Gates of the outstanding attempts.
+    gates: HashMap<AttemptId, Rc<SendGate>>,
     /// Servers of the attempts.
     servers: HashMap<AttemptId, UpstreamId>,
     /// Why the latest attempt failed, or [`NO_FAILURE`].
@@ -234,7 +234,7 @@
                 None => GatherEvent::Wake,
             },
             () = node.links.lost.notified() => GatherEvent::Wake,
-            () = node.ending.notified() => break run.classify_end(&gather),
+            () = node.ending.notified() => run.stop(),
             () = tokio::time::sleep_until(wake.into()) => GatherEvent::Wake,
         };
         outcome = run.apply_event(&mut gather, event);
@@ -262,7 +262,7 @@
             failure: None,
             sent: HashMap::new(),
             servers: HashMap::new(),
-            written: HashMap::new(),
+            gates: HashMap::new(),
             reason: NO_FAILURE,
             revision: admitted.revision,
             _memory: admitted.memory,
@@ -271,36 +271,37 @@
     }
 
     /// Ends the request because the process ends before its servers have replied.
-    fn classify_end(&mut self, gather: &Gather) -> GatherOutcome {
+    fn stop(&mut self) -> GatherEvent {
         self.reason = "this gateway is stopping";
-        match self.may_have_run(gather) {
-            true => GatherOutcome::Failed,
-            false => GatherOutcome::NotRun,
-        }
+        GatherEvent::Stopped(self.withdraw_unsent())
     }
 
-    /// Returns whether any attempt has run or may have run; one whose connection is not open yet has not.
+    /// Withdraws the attempts that have sent nothing, and returns them.
+    ///
+    /// This is the only proof that an outstanding attempt has not run: whoever says so of a request, to a caller or to
+    /// another gateway, has to call this first.
+    fn withdraw_unsent(&self) -> Vec<AttemptId> {
+        let gates = self.gates.iter();
+        let withdrawn = gates.filter(|(_, gate)| gate.withdraw());
+        withdrawn.map(|(id, _)| *id).collect()
+    }
+
+    /// Returns whether any attempt has run or may have run; one that has sent nothing has not.
     fn may_have_run(&self, gather: &Gather) -> bool {
-        self.count_runs(gather).iter().any(|runs| *runs > 0)
+        let waits = |id: &AttemptId| self.gates.get(id).is_some_and(|gate| !gate.has_sent());
+        gather.count_runs(waits).iter().any(|runs| *runs > 0)
     }
 
-    /// Returns for each service the number of attempts that ran or may have run, without those whose connection is not
-    /// open yet.
-    pub(crate) fn count_runs(&self, gather: &Gather) -> Vec<u32> {
-        let mut runs: Vec<u32> = gather.runs().collect();
-        for (id, written) in &self.written {
-            if let Some(service) = gather.service_of(*id)
-                && !written.get()
-            {
-                runs[service] = runs[service].saturating_sub(1);
-            }
-        }
-        runs
+    /// Withdraws the attempts that have sent nothing; returns for each service the number of the others, which ran or may
+    /// have run.
+    pub(crate) fn end_attempts(&self, gather: &Gather) -> Vec<u32> {
+        let withdrawn = self.withdraw_unsent();
+        gather.count_runs(|id| withdrawn.contains(id))
     }
 
     /// Hands the request on to another gateway, because no server can be reached from here.
     async fn hand_over(mut self, gather: &Gather, origin: &Origin, started: Instant) -> Answer {
-        let used = self.count_runs(gather);
+        let used = self.end_attempts(gather);
         let ran = used.iter().any(|runs| *runs > 0);
         self.tasks.abort_all();
         let forwarding = Forwarding {
@@ -467,10 +468,10 @@
         let node = Rc::clone(self.node);
         let outgoing = Rc::clone(&self.outgoing);
         let results = self.results.clone();
-        let written = Rc::new(Cell::new(false));
-        self.written.insert(id, Rc::clone(&written));
+        let gate = Rc::new(SendGate::default());
+        self.gates.insert(id, Rc::clone(&gate));
         self.tasks.spawn_local(async move {
-            let result = send_attempt(node, outgoing, permit, written, careful).await;
+            let result = send_attempt(node, outgoing, permit, gate, careful).await;
             // The receiver is gone if the request has ended meanwhile.
             let _ = results.send(Progress::Ended(id, result));
         });
@@ -520,7 +521,7 @@
     }
 
     fn record_result(&mut self, id: AttemptId, result: Result<Reply, AttemptError>) -> GatherEvent {
-        self.written.remove(&id);
+        self.gates.remove(&id);
         match result {
             Ok(reply) if self.is_usable(&reply) => {
                 if let Some(sent) = self.sent.get(&id) {
@@ -631,8 +632,10 @@
         answer
     }
 
-    /// Lets the attempts still in progress run for [`CANCEL_GRACE`].
+    /// Ends the attempts still in progress: those that have sent nothing never will, and the others may complete within
+    /// [`CANCEL_GRACE`].
     pub(crate) fn finish(mut self) {
+        self.withdraw_unsent();
         if self.tasks.is_empty() {
             return;
         }
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -148,9 +148,14 @@
         is_counted && !self.replied && !self.done
     }
 
-    /// Returns for each service the number of attempts that ran or may have run, those outstanding included.
-    pub fn runs(&self) -> impl Iterator<Item = u32> {
-        self.services.iter().map(|state| state.runs)
+    /// Returns for each service the number of attempts that ran or may have run: all that were sent, but for those that
+    /// are known not to have run and the outstanding ones for which `is_unsent` holds.
+    pub fn count_runs(&self, is_unsent: impl Fn(&AttemptId) -> bool) -> Vec<u32> {
+        let count = |state: &ServiceState| {
+            let unsent = state.outstanding.iter().filter(|id| is_unsent(id)).count();
+            state.runs.saturating_sub(unsent as u32)
+        };
+        self.services.iter().map(count).collect()
     }
 
     /// Returns whether this node itself sends the attempts for all services that have no part yet.
@@ -244,6 +249,7 @@
                 may_have_run,
             } => self.replace_holder(&services, may_have_run, now, env, &mut actions),
             GatherEvent::Blocked => self.abandon(),
+            GatherEvent::Stopped(withdrawn) => self.stop(&withdrawn),
             GatherEvent::Wake => self.run_timers(now, env, &mut actions),
         }
         self.send_waiting(now, env, &mut actions);
@@ -338,6 +344,16 @@
         }
     }
 
+    /// Ends the request with the parts that are in.
+    fn stop(&mut self, withdrawn: &[AttemptId]) {
+        for state in &mut self.services {
+            let before = state.outstanding.len();
+            state.outstanding.retain(|id| !withdrawn.contains(id));
+            state.runs -= (before - state.outstanding.len()) as u32;
+        }
+        self.abandon();
+    }
+
     /// Gives up every service without a part.
     fn abandon(&mut self) {
         self.careful = None;
--- a/crates/query/src/gather_event.rs
+++ b/crates/query/src/gather_event.rs
@@ -93,6 +93,8 @@
     },
     /// The request crashes servers and must not be sent any more.
     Blocked,
+    /// The process is about to end. These outstanding attempts are withdrawn: they have sent nothing, and never will.
+    Stopped(Vec<AttemptId>),
     /// The time returned by [`Gather::next_wake`] was reached.
     ///
     /// [`Gather::next_wake`]: crate::Gather::next_wake
