gateway: a planned stop answers requests that another gateway has

A caller whose request a gateway without links had forwarded got no answer if that gateway was stopped as planned meanwhile: its connection was closed. Cause: `forward` waits for the other gateway alone, and not for the end of the process, which the other paths of a request watch. Change: at the end of the grace period such a request is answered with 502, since the other gateway may have sent it. Evidence: forwarded_request_is_answered_in_a_stop failed before in its three cases (connection closed without an answer).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -112,8 +112,14 @@
         asked.push(helper.node.clone());
         // A gateway that is silent may be waiting for slow servers, and another one would repeat their work.
         let left = outgoing.deadline.saturating_duration_since(Instant::now());
-        let asking = ask(node, &forwarding, &helper);
-        match tokio::time::timeout(left, asking).await {
+        let asking = tokio::time::timeout(left, ask(node, &forwarding, &helper));
+        let asked = tokio::select! {
+            biased;
+            asked = asking => asked,
+            // The other gateway may have sent it.
+            () = node.ending.notified() => return Forwarded::Lost,
+        };
+        match asked {
             Ok(Ok(answer)) => {
                 node.state
                     .borrow_mut()
