gateway: a server's own 503 is no refusal by the gateway that passes it on

A request that may run once and that a server had answered with an error 503 after running it could run again: a gateway without links takes any 503 of the gateway that it has asked for the promise that nothing was sent, and asks the next one. Change: a 503 with a server's signature is passed on like any other reply. Evidence: reply_of_a_server_is_no_refusal_by_the_gateway failed before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -176,7 +176,8 @@
             .holder_pool
             .put(helper.addr, connection, Instant::now());
     }
-    if head.status == StatusCode::SERVICE_UNAVAILABLE {
+    let is_server_reply = head.headers.contains_key(&node.headers.signature);
+    if head.status == StatusCode::SERVICE_UNAVAILABLE && !is_server_reply {
         return Err(match head.headers.contains_key(CUT_HEADER) {
             true => HelperError::Cut,
             false => HelperError::NotRun,
