platform, gateway: one odd entry of the store decides nothing about the others

A single byte in a string that is not UTF-8, a control character or a number such as NaN in the entry of one writer made gateways refuse the whole list or the whole reply to a watch: they stopped following the registry, and one that started never became ready. An entry whose name could not be read any more was skipped in a watch, and its server stayed in use. A page that ended with such an entry ended the list, and the servers on the pages after it were dropped.

Cause: a reply was parsed as one JSON text, and its entries only told apart after that; the next page was asked for after the last entry that could be decoded. Entries without a readable name are counted; a change of one among the servers is followed by a list, which shows which server is gone. A page without any name to go on from, or that ends where the one before it did, fails the list, so that nothing is dropped. Such entries and failed calls are counted (`store_objects_unreadable`, `store_calls_failed`) and logged at a limited rate.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -7,10 +7,12 @@
 
 use base::UpstreamId;
 
+use crate::Batch;
 use crate::DecodeError;
 use crate::Object;
 use crate::ObjectKind;
 use crate::ObjectState;
+use crate::PageCursor;
 use crate::ServerChange;
 use crate::Snapshot;
 use crate::StoreEra;
@@ -58,10 +60,33 @@
     last_failure: Option<Instant>,
 ) -> Result<StoreVersion, DecodeError> {
     let batch = node.platform.read_changes(kind, era, body)?;
+    if hides_change(node, kind, &batch) {
+        return Err(DecodeError {
+            reason: "a change has no readable name".to_owned(),
+        });
+    }
     apply_objects(node, kind, batch.objects, last_failure);
     Ok(batch.version)
 }
 
+/// Returns whether changes may hide that of a known server, because the name of an object can't be read.
+pub(crate) fn hides_change(node: &Node, kind: ObjectKind, batch: &Batch) -> bool {
+    report_unnamed(node, kind, batch.unnamed);
+    kind == ObjectKind::Servers && batch.unnamed > 0
+}
+
+/// Counts and logs objects without a readable name, which are left out.
+pub(crate) fn report_unnamed(node: &Node, kind: ObjectKind, count: usize) {
+    if count == 0 {
+        return;
+    }
+    let mut state = node.state.borrow_mut();
+    state.metrics.add(Counter::ObjectUnreadable, count as u64);
+    if let Some(skipped) = state.allow_log_line("unnamed object") {
+        log::warn!(kind:? = kind, count, skipped; "store: objects without a readable name; left out");
+    }
+}
+
 /// Applies a relay's snapshot; returns the store version that it reaches.
 pub(crate) fn apply_snapshot(
     node: &Node,
@@ -86,7 +111,8 @@
 pub(crate) struct PagedList {
     names: HashSet<UpstreamId>,
     version: Option<StoreVersion>,
-    pub(crate) after: Option<String>,
+    /// Where the next page begins.
+    pub(crate) next: Option<PageCursor>,
 }
 
 impl PagedList {
@@ -102,11 +128,13 @@
         let batch = node.platform.read_list(kind, era, page)?;
         // The watch starts at the version of the first page, so that it also returns changes made during later pages.
         self.version.get_or_insert(batch.version);
-        self.after = batch.objects.last().map(|object| object.name.to_string());
+        report_unnamed(node, kind, batch.unnamed);
+        let more = batch.next.is_some();
+        self.next = check_cursor(self.next.as_ref(), batch.next)?;
         self.names
             .extend(batch.objects.iter().map(|object| object.name.clone()));
         apply_objects(node, kind, batch.objects, last_failure);
-        Ok(batch.more && self.after.is_some())
+        Ok(more)
     }
 
     /// Removes the servers that are not in the list; returns the version from which to watch.
@@ -123,6 +151,19 @@
     }
 }
 
+/// Checks that a list goes on behind the page before; one that doesn't would never end.
+pub(crate) fn check_cursor(
+    before: Option<&PageCursor>,
+    next: Option<PageCursor>,
+) -> Result<Option<PageCursor>, DecodeError> {
+    match next.is_some() && next.as_ref() == before {
+        true => Err(DecodeError {
+            reason: "a page ends where the one before it ended".to_owned(),
+        }),
+        false => Ok(next),
+    }
+}
+
 pub(crate) fn apply_objects(
     node: &Node,
     kind: ObjectKind,
@@ -190,7 +231,11 @@
             }
         },
         ObjectState::Unreadable(reason) => {
-            log::warn!(kind:? = kind, name = object.name.as_str(), reason = reason.as_str(); "store: failed to decode an object");
+            state.metrics.count(Counter::ObjectUnreadable);
+            if let Some(skipped) = state.allow_log_line("unreadable object") {
+                let (name, reason) = (object.name.as_str(), reason.as_str());
+                log::warn!(kind:? = kind, name, reason, skipped; "store: failed to decode an object");
+            }
             // An entry that can't be read names no server to use.
             if kind == ObjectKind::Servers {
                 remove(state, &object.name, None);
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -10,8 +10,12 @@
 
 use crate::ObjectKind;
 use crate::ObjectState;
+use crate::PageCursor;
 use crate::Peer;
+use crate::apply::check_cursor;
+use crate::apply::report_unnamed;
 use crate::era::check_era;
+use crate::metrics::Counter;
 use crate::node::Node;
 use crate::relay::fetch_from_seeds;
 
@@ -110,11 +114,11 @@
 
 async fn list_peers(node: &Node, client: &Client) -> Result<Vec<Peer>, StoreError> {
     let mut peers = Vec::new();
-    let mut after: Option<String> = None;
+    let mut after: Option<PageCursor> = None;
     loop {
         let path = node
             .platform
-            .stale_list_path(ObjectKind::Peers, after.as_deref());
+            .stale_list_path(ObjectKind::Peers, after.as_ref());
         let reply = client.read(&path, Duration::ZERO).await?;
         let invalid = |reason: String| StoreError::Invalid { reason };
         let era = check_era(node, ObjectKind::Peers, &reply)
@@ -123,17 +127,26 @@
             .platform
             .read_list(ObjectKind::Peers, era, &reply.body)
             .map_err(|error| invalid(error.to_string()))?;
-        after = batch.objects.last().map(|object| object.name.to_string());
+        report_unnamed(node, ObjectKind::Peers, batch.unnamed);
+        after =
+            check_cursor(after.as_ref(), batch.next).map_err(|error| invalid(error.to_string()))?;
         for object in batch.objects {
             match object.value {
                 ObjectState::Peer(peer) => peers.push(peer),
-                other => {
-                    log::warn!(name = object.name.as_str(), value:? = other; "peers: ignored an entry that is not a valid gateway")
-                }
+                other => report_invalid(node, object.name.as_str(), &other),
             }
         }
-        if !batch.more || after.is_none() {
+        if after.is_none() {
             return Ok(peers);
         }
     }
 }
+
+/// Counts and logs an entry that names no gateway.
+fn report_invalid(node: &Node, name: &str, value: &ObjectState) {
+    let mut state = node.state.borrow_mut();
+    state.metrics.count(Counter::ObjectUnreadable);
+    if let Some(skipped) = state.allow_log_line("invalid gateway") {
+        log::warn!(name, value:? = value, skipped; "peers: ignored an entry that is not a valid gateway");
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -83,6 +83,7 @@
 pub use crate::platform::Object;
 pub use crate::platform::ObjectKind;
 pub use crate::platform::ObjectState;
+pub use crate::platform::PageCursor;
 pub use crate::platform::Platform;
 pub use crate::platform::StoreEra;
 pub use crate::platform::StoreRevision;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -53,6 +53,7 @@
     HolderLost = "holders_lost",
     StoreFailed = "store_calls_failed",
     StoreRestored = "store_restores",
+    ObjectUnreadable = "store_objects_unreadable",
     RelayLost = "relays_lost",
     ServerDropped = "servers_dropped",
     LogSkipped = "log_lines_skipped",
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use http::HeaderName;
 use snafu::Snafu;
@@ -88,13 +89,18 @@
     pub value: ObjectState,
 }
 
+/// Name of the last object of a page, after which the next page begins. The names of others need not be UTF-8.
+pub type PageCursor = Bytes;
+
 /// Objects in one reply of the store.
 #[derive(Debug)]
 pub struct Batch {
     /// The objects; for a watch, in the order of their changes.
     pub objects: Vec<Object>,
-    /// Whether a list has another page.
-    pub more: bool,
+    /// Number of objects without a readable name, which are left out.
+    pub unnamed: usize,
+    /// Where a list goes on, if it has another page.
+    pub next: Option<PageCursor>,
     /// Version of the store up to which the batch is complete.
     pub version: StoreVersion,
 }
@@ -112,11 +118,11 @@
     /// Returns the header names in use.
     fn headers(&self) -> HeaderNames;
 
-    /// Returns the path of a call that lists the objects of a kind, starting after the object named `after`, if any.
-    fn list_path(&self, kind: ObjectKind, after: Option<&str>) -> String;
+    /// Returns the path of a call that lists the objects of a kind, starting after a page, if any.
+    fn list_path(&self, kind: ObjectKind, after: Option<&PageCursor>) -> String;
 
     /// Returns the path of a cheaper list call whose reply may be some seconds out of date.
-    fn stale_list_path(&self, kind: ObjectKind, after: Option<&str>) -> String;
+    fn stale_list_path(&self, kind: ObjectKind, after: Option<&PageCursor>) -> String;
 
     /// Returns the path and the body of the call that registers a gateway.
     fn build_registration(&self, peer: &Peer) -> (String, String);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -18,6 +18,7 @@
 use crate::apply::apply_changes;
 use crate::apply::apply_objects;
 use crate::apply::apply_snapshot;
+use crate::apply::hides_change;
 use crate::era::OutdatedReply;
 use crate::era::check_era;
 use crate::era::is_outdated;
@@ -254,13 +255,18 @@
                 self.failures = 0;
                 self.since = None;
             }
+            Err(StoreFailure::ChangeHidden) => {
+                self.failures = 0;
+                self.since = None;
+                tokio::time::sleep(self.batch_delay).await;
+            }
             Err(StoreFailure::Restored) => {
                 log::info!(kind:? = self.kind, since:? = self.since; "store: restored since the last call; listing all objects again");
                 self.failures = 0;
                 self.since = None;
             }
             Err(StoreFailure::Failed(reason)) => {
-                log::warn!(kind:? = self.kind, since:? = self.since, reason = reason.as_str(); "store: call failed");
+                self.report_failure(&reason);
                 self.record_failure(began.elapsed(), is_connected);
                 let jitter = self.draw_jitter();
                 let delay = self.pacing.retry_delay(role, self.failures, jitter);
@@ -275,6 +281,13 @@
         }
     }
 
+    fn report_failure(&self, reason: &str) {
+        let mut state = self.node.state.borrow_mut();
+        if let Some(skipped) = state.allow_log_line("store failed") {
+            log::warn!(kind:? = self.kind, since:? = self.since, reason, skipped; "store: call failed");
+        }
+    }
+
     /// Records a failed call. Once the store counts as lost, also wakes the peers that poll this gateway, so that they
     /// call the store themselves.
     fn record_failure(&mut self, took: Duration, was_connected: bool) {
@@ -384,7 +397,7 @@
         let mut pages = Vec::new();
         let mut first_era = None;
         loop {
-            let path = node.platform.list_path(kind, list.after.as_deref());
+            let path = node.platform.list_path(kind, list.next.as_ref());
             let reply = client.read(&path, Duration::ZERO).await?;
             let era = check_era(node, kind, &reply)?;
             if era != *first_era.get_or_insert(era) {
@@ -419,6 +432,9 @@
         }
         let body = reply.body;
         let batch = node.platform.read_changes(kind, era, &body)?;
+        if hides_change(node, kind, &batch) {
+            return Err(StoreFailure::ChangeHidden);
+        }
         let changed = !batch.objects.is_empty();
         let version = batch.version.max(since);
         apply_objects(node, kind, batch.objects, self.last_doubt());
@@ -445,6 +461,8 @@
 enum StoreFailure {
     /// The store no longer keeps the changes since the last call.
     HistoryExpired,
+    /// The name of an object that has changed can't be read. A list shows which one is not readable any more.
+    ChangeHidden,
     /// The store was restored since the last call, so that the versions known no longer mean anything.
     Restored,
     Failed(String),
