--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -324,7 +324,7 @@
     let Some(mut request) = outgoing.build(&node.headers) else {
         return fail_unsent("the deadline has passed");
     };
-    let Ok(target) = HeaderValue::from_str(target) else {
+    let Ok(target) = HeaderValue::from_bytes(target.as_bytes()) else {
         return fail_unsent("the id of the server is not a valid header value");
     };
     request.headers_mut().insert(&node.headers.target, target);
