gateway: names are escaped in log lines and in the metrics page

A line break in the name of an entry, a route or a server began a line of its own in the log, so that another writer could forge lines; names of any length filled the log. A quote in the name of a route made the metrics page unreadable. Change: the log writer escapes control characters and bounds each line at 4 KB; labels are escaped as the text format demands.

--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -21,6 +21,9 @@
 /// Most lines that wait to be written; further lines are dropped.
 const MAX_QUEUED_LINES: usize = 512;
 
+/// Longest line; the rest of a longer one is dropped, since the names of others may have any length.
+const MAX_LINE_BYTES: usize = 4 << 10;
+
 /// Interval at which [`LogFlusher::wait`] checks for queued lines.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -112,7 +115,7 @@
 impl Write for LogWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.queued.fetch_add(1, Ordering::Acquire);
-        match self.lines.try_send(bytes.to_vec()) {
+        match self.lines.try_send(escape_line(bytes)) {
             Ok(()) => Ok(bytes.len()),
             Err(error) => {
                 self.queued.fetch_sub(1, Ordering::Release);
@@ -128,3 +131,18 @@
         Ok(())
     }
 }
+
+/// Escapes control characters, so that a line stays one line whatever the names in it hold, and bounds its length.
+fn escape_line(line: &[u8]) -> Vec<u8> {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    let line = &line[..line.len().min(MAX_LINE_BYTES)];
+    let mut escaped = Vec::with_capacity(line.len() + 1);
+    for byte in line {
+        match byte.is_ascii_control() {
+            true => escaped.extend(byte.escape_ascii()),
+            false => escaped.push(*byte),
+        }
+    }
+    escaped.push(b'\n');
+    escaped
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -124,6 +124,7 @@
         }
         let name = "limpetwick_request_seconds";
         for (route, histogram) in &self.latencies {
+            let route = escape_label(route);
             for (bound, bucket) in BUCKET_BOUNDS_MS.iter().zip(histogram.buckets) {
                 let bound = *bound as f64 / 1_000.0;
                 writeln!(
@@ -142,3 +143,9 @@
         Ok(())
     }
 }
+
+/// Escapes the value of a label, as the text format demands.
+fn escape_label(value: &str) -> String {
+    let escaped = value.replace('\\', "\\\\").replace('"', "\\\"");
+    escaped.replace('\n', "\\n")
+}
--- a/crates/gateway/tests/logging.rs
+++ b/crates/gateway/tests/logging.rs
@@ -46,3 +46,31 @@
     }
     drop(release);
 }
+
+/// Output that sends what is written to it.
+struct SentOutput(std::sync::mpsc::Sender<Vec<u8>>);
+
+impl Write for SentOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let _ = self.0.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against names of other writers that forge lines of the log or fill it.
+#[test]
+fn name_in_a_line_forges_no_other_line() {
+    let (sender, lines) = channel();
+    let (mut writer, _flusher) = LogWriter::start(SentOutput(sender)).unwrap();
+    writer
+        .write_all("servers: removed name=é\r\nforged\n".as_bytes())
+        .unwrap();
+    let line = lines.recv().unwrap();
+    assert_eq!(line, "servers: removed name=é\\r\\nforged\n".as_bytes());
+    writer.write_all(&[b'x'; 1 << 20]).unwrap();
+    assert!(lines.recv().unwrap().len() < 5_000);
+}
