base, gateway, suspect, links: names are escaped in what gateways tell each other

A gateway whose name, or the name of whose zone, holds a space was missing from the list that a starting gateway gets from a seed, and a line break in it forged entries of others; facts from a gateway with such a name were ignored by all others. Cause: the lines separate their fields by spaces, and the names went in as they are.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 mod code;
+mod field;
 mod id;
 mod map;
 mod message;
@@ -16,6 +17,8 @@
 
 pub use crate::code::Code;
 pub use crate::code::Outcome;
+pub use crate::field::escape_field;
+pub use crate::field::unescape_field;
 pub use crate::id::AttemptId;
 pub use crate::id::IndexName;
 pub use crate::id::IndexVersion;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,8 @@
 
 use base::NodeId;
 use base::ZoneName;
+use base::escape_field;
+use base::unescape_field;
 use bytes::Buf;
 use bytes::BufMut;
 use bytes::Bytes;
@@ -94,10 +96,11 @@
 
     /// Encodes the gateways, one a line, for a gateway that can't list them in the store.
     pub fn encode(&self) -> String {
-        self.known
-            .iter()
-            .map(|peer| format!("{} {} {} {}\n", peer.node, peer.zone, peer.addr, peer.cores))
-            .collect()
+        let encode_line = |peer: &Peer| {
+            let (node, zone) = (escape_field(&peer.node), escape_field(&peer.zone));
+            format!("{node} {zone} {} {}\n", peer.addr, peer.cores)
+        };
+        self.known.iter().map(encode_line).collect()
     }
 
     /// Decodes the output of [`Peers::encode`], and skips malformed lines.
@@ -105,8 +108,8 @@
         let decode_line = |line: &str| {
             let mut fields = line.split(' ');
             Some(Peer {
-                node: fields.next()?.into(),
-                zone: fields.next()?.into(),
+                node: unescape_field(fields.next()?)?,
+                zone: unescape_field(fields.next()?)?,
                 addr: fields.next()?.parse().ok()?,
                 // Older gateways don't write this field.
                 cores: fields
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -300,6 +300,22 @@
 }
 
 proptest! {
+    /// Guards against the name of one gateway that hides or forges the entries of others in the list for a seed.
+    #[test]
+    fn peers_of_any_name_round_trip(names in prop::collection::btree_set(any::<String>(), 1..5), zone: String) {
+        let addr = "10.0.0.1:80".parse().unwrap();
+        let create = |name: &String| Peer {
+            node: name.as_str().into(),
+            zone: zone.as_str().into(),
+            addr,
+            cores: 0.5,
+        };
+        let all: Vec<Peer> = names.iter().map(create).collect();
+        let mut peers = Peers::default();
+        peers.set(all.clone());
+        prop_assert_eq!(Peers::decode(&peers.encode()), all);
+    }
+
     /// Guards against a snapshot that decodes to another one, and against a panic on a truncated one.
     #[test]
     fn encoded_snapshot_round_trips(
--- a/crates/links/src/reach.rs
+++ b/crates/links/src/reach.rs
@@ -7,6 +7,8 @@
 use std::time::Instant;
 
 use base::NodeId;
+use base::escape_field;
+use base::unescape_field;
 
 /// Time for which what a node says of itself holds; a node without links says so again each second.
 const FACT_TIME: Duration = Duration::from_secs(4);
@@ -48,8 +50,9 @@
             _ => return None,
         };
         let left = Duration::from_millis(fields.next()?.parse().ok()?).min(FACT_TIME);
-        fields.next().is_none().then(|| ReachFact {
-            node: node.into(),
+        let is_complete = fields.next().is_none();
+        is_complete.then_some(ReachFact {
+            node: unescape_field(node)?,
             generation,
             is_cut,
             left,
@@ -60,7 +63,7 @@
 impl Display for ReachFact {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         let state = if self.is_cut { "cut" } else { "whole" };
-        let (node, generation) = (&self.node, self.generation);
+        let (node, generation) = (escape_field(&self.node), self.generation);
         write!(
             f,
             "{PREFIX} {node} {generation} {state} {}",
--- a/crates/links/tests/links.rs
+++ b/crates/links/tests/links.rs
@@ -130,7 +130,8 @@
 
     /// Guards against a fact that its receiver reads as another one, and against a line that ends the process.
     #[test]
-    fn facts_survive_the_wire(fact in any_fact(), line in ".{0,60}") {
+    fn facts_survive_the_wire(mut fact in any_fact(), node in "[a %\n\u{e9}]{1,8}", line in ".{0,60}") {
+        fact.node = node.into();
         prop_assert_eq!(ReachFact::parse(&fact.to_string()), Some(fact));
         let _ = ReachFact::parse(&line);
         let _ = ReachFact::parse(&format!("links {line}"));
--- a/crates/suspect/src/fact.rs
+++ b/crates/suspect/src/fact.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use base::NodeId;
+use base::escape_field;
+use base::unescape_field;
 
 use crate::RequestKey;
 use crate::ServerHash;
@@ -56,14 +58,17 @@
             servers.push(u32::from_str_radix(server, 16).ok()?);
         }
         let is_sorted = servers.is_sorted_by(|one, other| one < other);
-        (is_sorted && servers.len() <= BLOCK_AFTER).then(|| Fact {
+        if !is_sorted || servers.len() > BLOCK_AFTER {
+            return None;
+        }
+        Some(Fact {
             key,
             generation,
             state,
             level,
             left,
             servers,
-            origin: origin.into(),
+            origin: unescape_field(origin)?,
         })
     }
 }
@@ -74,7 +79,7 @@
         let state = name_state(self.state);
         write!(f, "{:032x} {:08x} ", key.request, key.caller)?;
         write!(f, "{} {state} {} {millis} ", self.generation, self.level)?;
-        write!(f, "{}", self.origin)?;
+        write!(f, "{}", escape_field(&self.origin))?;
         for server in &self.servers {
             write!(f, " {server:08x}")?;
         }
--- a/crates/suspect/tests/table.rs
+++ b/crates/suspect/tests/table.rs
@@ -203,7 +203,8 @@
 
     /// Guards against a fact that its receiver reads as another one, and against a line that ends the process.
     #[test]
-    fn facts_survive_the_wire(fact in any_fact(), line in ".{0,80}") {
+    fn facts_survive_the_wire(mut fact in any_fact(), origin in "[a %\n\u{e9}]{1,8}", line in ".{0,80}") {
+        fact.origin = origin.into();
         prop_assert_eq!(Fact::parse(&fact.to_string()), Some(fact));
         let _ = Fact::parse(&line);
     }
