--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -43,6 +43,9 @@
 /// Gateways that are asked in turn.
 const MAX_HELPERS: usize = 3;
 
+/// Most gateways that can't be connected to before a request is given up.
+const MAX_UNREACHABLE: usize = 3;
+
 /// Longest time to wait for a connection to a gateway, several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -92,6 +95,8 @@
 
 /// Why a gateway was of no help.
 enum HelperError {
+    /// It can't be connected to.
+    Unreachable,
     /// It has not sent the request to a server.
     NotRun,
     /// It reaches no server either.
@@ -105,7 +110,8 @@
     let outgoing = forwarding.outgoing;
     let mut asked = Vec::new();
     let mut may_have_run = false;
-    while asked.len() < MAX_HELPERS {
+    let mut unreachable = 0;
+    while asked.len() < MAX_HELPERS + unreachable && unreachable < MAX_UNREACHABLE {
         let Some(helper) = node.choose_helper(&asked) else {
             break;
         };
@@ -127,6 +133,7 @@
                     .count(Counter::RequestForwarded);
                 return Forwarded::Answered(answer);
             }
+            Ok(Err(HelperError::Unreachable)) => unreachable += 1,
             Ok(Err(HelperError::NotRun)) => {}
             Ok(Err(HelperError::Cut)) => node.facts.note_cut(&helper.node),
             Ok(Err(HelperError::Lost)) | Err(_) => {
@@ -202,9 +209,18 @@
         }
     }
     let opening = tokio::time::timeout(CONNECT_TIMEOUT, connect(helper.addr, ()));
-    match opening.await {
-        Ok(Ok(connection)) => Ok(connection),
-        Ok(Err(_)) | Err(_) => Err(HelperError::NotRun),
+    let opened = opening.await;
+    let mut state = node.state.borrow_mut();
+    match opened {
+        Ok(Ok(connection)) => {
+            state.helpers.record_reached(&helper.node);
+            Ok(connection)
+        }
+        Ok(Err(_)) | Err(_) => {
+            let now = Instant::now();
+            state.helpers.record_unreachable(&helper.node, now);
+            Err(HelperError::Unreachable)
+        }
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,14 +10,12 @@
 use base::AttemptId;
 use base::NodeId;
 use base::RegionName;
-use limit::Distance;
 use limit::LatencyHistogram;
 use limit::Limits;
 use limit::MemoryBudget;
 use limit::RepeatPool;
 use limit::RepeatRule;
 use limit::Tuning;
-use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
@@ -37,6 +35,8 @@
 use crate::ShardSenders;
 use crate::StoreEra;
 use crate::facts::Facts;
+use crate::helpers::Helpers;
+use crate::helpers::Place;
 use crate::holder_client::HolderPool;
 use crate::links::Links;
 use crate::metrics::Counter;
@@ -64,9 +64,6 @@
 /// Holders of one shard in a zone that share the limit: the first one, and the one that replaces it.
 const SENDERS_PER_ZONE: u32 = 2;
 
-/// Divisor of the gateways of a place of which more have to reach servers, or others help as well.
-const MIN_HELPER_DIVISOR: usize = 3;
-
 /// Divisor of the process's memory that gives the budget for requests in progress; the rest is for code, tables,
 /// connections and answers that callers are slow to read.
 const MEMORY_DIVISOR: u64 = 2;
@@ -97,6 +94,8 @@
     /// Holders of this gateway's zone.
     pub(crate) holders: Holders,
     pub(crate) holder_pool: HolderPool,
+    /// Gateways that can't be asked for help.
+    pub(crate) helpers: Helpers,
     pub(crate) change_logs: ChangeLogs,
     /// Kind and time of the latest failed call to the store, until a call succeeds.
     pub(crate) store_failure: Option<(ObjectKind, Instant)>,
@@ -171,6 +170,7 @@
             peers: Peers::default(),
             holders: Holders::default(),
             holder_pool: HolderPool::default(),
+            helpers: Helpers::default(),
             change_logs: ChangeLogs::default(),
             store_failure: None,
             store_era: None,
@@ -211,41 +211,24 @@
         known.filter(is_other).cloned().collect()
     }
 
-    /// Chooses a gateway that reaches servers as far as is known, other than those in `asked`: in the own zone, unless few
-    /// there have links, else also in the region or elsewhere.
+    /// Chooses a gateway that reaches servers as far as is known, other than those in `asked`.
     pub(crate) fn choose_helper(&self, asked: &[NodeId]) -> Option<Peer> {
         let others = self.other_peers();
-        let mut state = self.state.borrow_mut();
-        let settings = &state.settings;
-        let is_linked = |peer: &&Peer| !self.facts.is_cut(&peer.node);
-        let linked: Vec<&Peer> = others.iter().filter(is_linked).collect();
-        let distance = |peer: &Peer| {
-            let region = settings.regions.get(&peer.zone);
-            let own = (&settings.zone, Some(&settings.region));
-            Distance::between(own, (&peer.zone, region))
-        };
-        let count = |peers: &[Peer], most: Distance| {
-            peers.iter().filter(|peer| distance(peer) <= most).count()
+        let is_linked = |peer: &Peer| !self.facts.is_cut(&peer.node);
+        let mut guard = self.state.borrow_mut();
+        let State {
+            settings,
+            helpers,
+            rng,
+            ..
+        } = &mut *guard;
+        let place = Place {
+            zone: &settings.zone,
+            region: &settings.region,
+            regions: &settings.regions,
         };
-        let mut candidates = Vec::new();
-        for most in [
-            Distance::SameZone,
-            Distance::SameRegion,
-            Distance::OtherRegion,
-        ] {
-            candidates = linked.clone();
-            candidates.retain(|peer| distance(peer) <= most);
-            // So that the callers of many VMs don't meet at a few.
-            if candidates.len() * MIN_HELPER_DIVISOR > count(&others, most) {
-                break;
-            }
-        }
-        candidates.retain(|peer| !asked.contains(&peer.node));
-        if candidates.is_empty() {
-            return None;
-        }
-        let at = state.rng.random_range(0..candidates.len());
-        Some(candidates[at].clone())
+        let helper = helpers.choose(&others, place, is_linked, asked, Instant::now(), rng);
+        helper.cloned()
     }
 
     /// Returns whether the load balancer should send new connections here.
@@ -361,6 +344,7 @@
 
     /// Sets the gateways that share the servers and the limit on repeats with this one.
     pub(crate) fn set_peers(&mut self, peers: Vec<Peer>) {
+        self.helpers.retain_listed(&peers);
         self.peers.set(peers);
         self.holders.set(self.peers.in_zone(&self.settings.zone));
         self.update_repeat_share();
