links, gateway: refused connections count as a lost link in spite of replies

Cause: a reply of any server within 250 ms cleared every suspicion, also a reply on a connection that was open before. Change: three servers that refuse, with none that accepts one in between, cause a probe whatever replies come; a probe tries eight servers instead of four, and after one that succeeds refusals cause none for a second.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends one attempt to a server and classifies its reply.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -299,9 +300,15 @@
     let connecting = connect(addr, guard);
     let connection = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(connection)) => connection,
-        Ok(Err(_)) => return fail(Failure::Refused, "the connection was refused"),
+        Ok(Err(error)) => {
+            if error.kind() == ErrorKind::ConnectionRefused {
+                node.links.record_refused(addr);
+            }
+            return fail(Failure::Refused, "the connection was refused");
+        }
         Err(_) => return fail(Failure::Unreachable, "the connection timed out"),
     };
+    node.links.record_opened();
     let rtt = began.elapsed();
     node.state.borrow_mut().limits.record_rtt(key, rtt);
     if !repeatable {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -22,7 +22,7 @@
 pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Servers to which a probe opens a connection; some of them may be down for other reasons.
-const PROBED_SERVERS: usize = 4;
+const PROBED_SERVERS: usize = 8;
 
 /// Longest time for the connections of a probe, several round trips between regions.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -63,6 +63,19 @@
         }
     }
 
+    /// Records that a server has accepted a connection.
+    pub(crate) fn record_opened(&self) {
+        self.detector.borrow_mut().record_opened();
+    }
+
+    /// Records that a server has refused a connection.
+    pub(crate) fn record_refused(&self, server: SocketAddr) {
+        let mut detector = self.detector.borrow_mut();
+        if detector.record_refused(server, Instant::now()) {
+            self.suspected.notify_one();
+        }
+    }
+
     /// Returns whether any server has replied since shortly before a time.
     pub(crate) fn has_reply_since(&self, time: Instant) -> bool {
         let since = time.checked_sub(SILENCE_TIMEOUT).unwrap_or(time);
--- a/crates/links/src/detector.rs
+++ b/crates/links/src/detector.rs
@@ -1,11 +1,19 @@
 //! Decides whether this node has lost its links to all servers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 /// Time after a probe in which no further one is made, so that single failures cause few.
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Servers that refuse new connections, without any that accepts one in between, after which the links are probed.
+const MAX_REFUSING: usize = 3;
+
+/// Time after a probe in which no further one is made because of refused connections: a probe that succeeds shows that
+/// these servers are down.
+const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time for which a reply shows that there are links.
 const REPLY_WINDOW: Duration = Duration::from_millis(250);
 
@@ -38,13 +46,15 @@
 
 /// Decides whether this node has lost its links to all servers.
 ///
-/// Attempts that fail or stay silent only raise a suspicion, unless any server has replied since they were sent. A probe
-/// of a few servers decides.
+/// Attempts that fail or stay silent only raise a suspicion, unless any server has replied since they were sent, and so do
+/// new connections that several servers refuse. A probe of a few servers decides.
 #[derive(Debug)]
 pub struct Detector {
     state: State,
     last_reply: Option<Instant>,
     last_probe: Option<Instant>,
+    /// Servers that have refused a connection since any other one has accepted one.
+    refusing: Vec<SocketAddr>,
 }
 
 impl Default for Detector {
@@ -60,6 +70,7 @@
             state: State::Linked,
             last_reply: None,
             last_probe: None,
+            refusing: Vec::new(),
         }
     }
 
@@ -80,20 +91,47 @@
         let sent = now
             .checked_sub(REPLY_WINDOW)
             .map_or(sent, |recent| sent.min(recent));
-        let is_pausing = self
-            .last_probe
-            .is_some_and(|probe| now.saturating_duration_since(probe) < PROBE_PAUSE);
-        let may_probe = matches!(self.state, State::Linked | State::Returning { .. });
-        if !may_probe || is_pausing || self.has_reply_since(sent) {
+        if self.is_pausing(PROBE_PAUSE, now) || self.has_reply_since(sent) {
             return false;
         }
-        self.state = State::Probing;
-        true
+        self.start_probe()
+    }
+
+    /// Records that a server has accepted a connection.
+    pub fn record_opened(&mut self) {
+        self.refusing.clear();
+    }
+
+    /// Records that a server has refused a connection; returns whether servers are to be probed now.
+    ///
+    /// Replies count for nothing here: they may come on connections that outlive the links.
+    pub fn record_refused(&mut self, server: SocketAddr, now: Instant) -> bool {
+        if self.refusing.len() < MAX_REFUSING && !self.refusing.contains(&server) {
+            self.refusing.push(server);
+        }
+        if self.refusing.len() < MAX_REFUSING || self.is_pausing(REFUSAL_PAUSE, now) {
+            return false;
+        }
+        self.start_probe()
+    }
+
+    fn is_pausing(&self, pause: Duration, now: Instant) -> bool {
+        self.last_probe
+            .is_some_and(|probe| now.saturating_duration_since(probe) < pause)
+    }
+
+    fn start_probe(&mut self) -> bool {
+        let may_probe = matches!(self.state, State::Linked | State::Returning { .. });
+        if may_probe {
+            self.state = State::Probing;
+        }
+        may_probe
     }
 
     /// Records whether a probe has reached any server.
     pub fn record_probe(&mut self, reached: bool, now: Instant) -> LinkChange {
         self.last_probe = Some(now);
+        self.refusing.clear();
         match (self.state, reached) {
             (State::Cut { since }, true) => {
                 self.state = State::Returning { since: now };
--- a/crates/links/tests/links.rs
+++ b/crates/links/tests/links.rs
@@ -1,5 +1,6 @@
 //! Rules of the detector of lost links, and of what nodes tell each other of theirs.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -50,6 +51,63 @@
     );
 }
 
+fn server(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+/// Guards against a node that sends its requests itself, because replies come on connections that were open before it lost
+/// its links.
+#[test]
+fn refused_connections_count_in_spite_of_replies() {
+    let start = Instant::now();
+    let mut detector = Detector::new();
+    for (number, expected) in [(1, false), (2, false), (3, true)] {
+        detector.record_reply(start);
+        assert_eq!(detector.record_refused(server(number), start), expected);
+    }
+    assert_eq!(detector.record_probe(false, start), LinkChange::Lost);
+}
+
+/// Guards against a node that takes two servers which are down for the loss of its links, however often they are tried.
+#[test]
+fn refusals_of_few_servers_cause_no_probe() {
+    let start = Instant::now();
+    let mut detector = Detector::new();
+    for at in 0..10_000 {
+        assert!(!detector.record_refused(server((at % 2) as u8), start + ms(at)));
+    }
+}
+
+/// Guards against a node that probes because servers are down, though others accept its connections.
+#[test]
+fn accepted_connection_shows_links() {
+    let start = Instant::now();
+    let mut detector = Detector::new();
+    for at in 0..10_000 {
+        assert!(!detector.record_refused(server((at % 9) as u8), start + ms(at)));
+        if at % 2 == 0 {
+            detector.record_opened();
+        }
+    }
+}
+
+/// Guards against probes without end while many servers are down.
+#[test]
+fn refusals_of_many_servers_cause_few_probes() {
+    let start = Instant::now();
+    let mut detector = Detector::new();
+    let mut probes = 0;
+    for at in 0..10_000 {
+        let now = start + ms(at);
+        if detector.record_refused(server((at % 9) as u8), now) {
+            probes += 1;
+            detector.record_probe(true, now);
+        }
+    }
+    assert_eq!(probes, 10);
+    assert!(!detector.is_cut());
+}
+
 /// Guards against a burst of requests at the moment at which the links are back.
 #[test]
 fn own_share_grows_after_the_return() {
