gateway: a number of cores that none can have is ignored in the list of a seed

A seed's line with NaN or inf cores made that gateway the relay and the holder of its zone for a starting gateway, since NaN sorts before all numbers. Evidence: cores_that_none_can_have_are_ignored failed before in its three cases.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -115,6 +115,7 @@
                 cores: fields
                     .next()
                     .and_then(|cores| cores.parse().ok())
+                    .filter(|cores: &f64| cores.is_finite() && *cores >= 0.0)
                     .unwrap_or(0.0),
             })
         };
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -299,6 +299,16 @@
     assert_eq!(Peers::decode(&malformed).len(), 4);
 }
 
+/// Guards against a gateway that becomes the relay of its zone because the list of a seed says that it has no number of cores.
+#[rstest]
+#[case::no_number("NaN")]
+#[case::without_end("inf")]
+#[case::negative("-1")]
+fn cores_that_none_can_have_are_ignored(#[case] cores: &str) {
+    let peers = Peers::decode(&format!("n-1 z 10.0.0.1:80 {cores}\n"));
+    assert_eq!(peers[0].cores, 0.0);
+}
+
 proptest! {
     /// Guards against the name of one gateway that hides or forges the entries of others in the list for a seed.
     #[test]
