--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod named_limit;
 mod node;
 mod notices;
+mod outcome;
 mod pacing;
 mod packed;
 mod peers;
