--- a/crates/gateway/src/helpers.rs
+++ b/crates/gateway/src/helpers.rs
@@ -99,7 +99,7 @@
 }
 
 /// Where a gateway stands.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub struct Place<'a> {
     /// Its availability zone.
     pub zone: &'a ZoneName,
