--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -608,7 +608,7 @@
         let peer = find_free(ip);
         let settings = format!(
             r#"{{"node_name": "{name}", "role": "gateway", "machine_class": "front", "serves": ["front", "control"],
-"ip": "{ip}", "zone": "{zone}", "region": "r", "zones": {{"za": "r", "zb": "r"}},
+"ip": "{ip}", "zone": "{zone}", "region": "{4}", "zones": {{"za": "north", "zb": "north", "zc": "south"}},
 "listen_addrs": {{"front": "{front}", "ready": "{ready}", "control": "{control}"}},
 "internal_ports": [{0}, {0}], "seeds": [], "bootstrap": true, "loss_counts": false,
 "limits": {{"cpu_share": 0.17, "cpu_speed": 1, "memory_mb": {1}, "max_fds": 2870, "link_mbps": 700.0, "disk_mb": 0}},
@@ -623,7 +623,8 @@
             peer.port(),
             figures.memory_mb,
             figures.contact_ms,
-            figures.grace_s
+            figures.grace_s,
+            if zone == "zc" { "south" } else { "north" },
         );
         let path = folder.join(format!("{name}.json"));
         std::fs::write(&path, settings).unwrap_or_else(|error| give_up(&error.to_string()));
