review: case 8, an older build answers 400 to a request that a newer one hands on

During an upgrade, a newer gateway that reaches no server hands requests to older ones, which take them for something else, and passes their 400 on to its clients.

--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -613,11 +613,15 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    program: String,
     settings: PathBuf,
     log: PathBuf,
     pub child: Child,
 }
 
+/// The program of the deploy file.
+const PROGRAM: &str = "target/release/limpetwick-gateway";
+
 impl Gateway {
     /// Starts a gateway as the deploy file does.
     pub fn start(
@@ -627,6 +631,19 @@
         store: SocketAddr,
         figures: &Figures,
         folder: &Path,
+    ) -> Gateway {
+        Gateway::start_program(PROGRAM, name, ip, zone, store, figures, folder)
+    }
+
+    /// Starts a gateway with another build of the program.
+    pub fn start_program(
+        program: &str,
+        name: &str,
+        ip: &str,
+        zone: &str,
+        store: SocketAddr,
+        figures: &Figures,
+        folder: &Path,
     ) -> Gateway {
         let (front, ready, control) = (find_free(ip), find_free(ip), find_free(ip));
         let peer = find_free(ip);
@@ -653,11 +670,12 @@
         let path = folder.join(format!("{name}.json"));
         std::fs::write(&path, settings).unwrap_or_else(|error| give_up(&error.to_string()));
         let log = folder.join(format!("{name}.log"));
-        let child = spawn(&path, &log);
+        let child = spawn(program, &path, &log);
         Gateway {
             name: name.into(),
             front,
             ready,
+            program: program.into(),
             settings: path,
             log,
             child,
@@ -667,7 +685,16 @@
     /// Kills the process and starts it again.
     pub fn restart(&mut self) {
         self.end();
-        self.child = spawn(&self.settings, &self.log);
+        self.child = spawn(&self.program, &self.settings, &self.log);
+    }
+
+    /// Stops the process as planned, and starts the program of the deploy file in its place.
+    pub fn upgrade(&mut self) {
+        self.signal("TERM");
+        let _ = self.child.wait();
+        self.end();
+        self.program = PROGRAM.into();
+        self.child = spawn(&self.program, &self.settings, &self.log);
     }
 
     /// Kills the process.
@@ -731,15 +758,15 @@
     }
 }
 
-fn spawn(settings: &Path, log: &Path) -> Child {
+fn spawn(program: &str, settings: &Path, log: &Path) -> Child {
     let log = File::options().create(true).append(true).open(log).unwrap();
-    let child = Command::new("target/release/limpetwick-gateway")
+    let child = Command::new(program)
         .env("LIMPETWICK_SETTINGS", settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone().unwrap())
         .stderr(log)
         .spawn()
-        .unwrap_or_else(|error| give_up(&format!("target/release/limpetwick-gateway: {error}")));
+        .unwrap_or_else(|error| give_up(&format!("{program}: {error}")));
     STARTED.lock().unwrap().push(child.id());
     child
 }
