gateway: memory of a body is counted until its last byte is sent

A gateway was ended for its memory while many clients read long answers slowly; their callers lost all requests that it had in progress.

Cause: the memory of a reply was returned to the budget when the answer was built, while its bytes live until the client has read them, in the write buffer of the connection. Besides, the buffer of a body that comes in frames grew to twice what was charged, frames of a holder were charged not at all while they waited for the other gateway, and the buffer of frames that a holder sends was not charged until a frame was complete.

Change: Memory (gateway/src/memory.rs) owns the budget. A BodyMemory travels with the bytes: from the reader of the body, which charges what it allocates and not the length, through the reply, the part or the merged body, into AnswerBytes, the buffer that the connection writes from and drops after the last byte. The first 64 KB of each body are charged like the request, the rest to a part of its own (5 of 16), so that large bodies leave room for requests with small ones. The budget is 60% of memory_mb, half of it before, since more is counted in it now.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -4,7 +4,6 @@
 use std::error::Error;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
 use hyper::body::Body;
@@ -41,7 +40,7 @@
     answer: impl Fn(Request<Incoming>) -> F + Clone + 'static,
 ) where
     F: Future<Output = Response<B>>,
-    B: Body<Data = Bytes> + 'static,
+    B: Body + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     accept_connections(listener, |stream| {
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -19,9 +19,10 @@
 use crate::attempt::OutgoingRequest;
 use crate::attempt::remove_hop_headers;
 use crate::body::BodyError;
-use crate::body::Reserved;
 use crate::body::read_body;
 use crate::fingerprint::Fingerprint;
+use crate::memory::BodyMemory;
+use crate::memory::Reserved;
 use crate::metrics::Counter;
 use crate::node::Node;
 
@@ -45,7 +46,7 @@
     pub(crate) outgoing: OutgoingRequest,
     /// Time from which a partial answer is better than a later one.
     pub(crate) objective: Instant,
-    /// Memory reserved for the request and its body.
+    /// Memory reserved for the request besides its body.
     pub(crate) memory: Reserved,
     /// Attempts at each service that the gateway which forwarded the request has made, or none.
     pub(crate) used: Vec<u32>,
@@ -73,9 +74,10 @@
     let left = timeout.unwrap_or(route.timeout);
     let deadline = arrived + left.min(route.timeout);
     let cost = REQUEST_BYTES + ATTEMPT_BYTES * route.target.fan_out();
-    let mut memory = Reserved::admit(node, route.rank, cost)
+    let memory = Reserved::admit(&node.memory, route.rank, cost)
         .ok_or_else(|| refuse_for_memory(node, &id, &route))?;
-    let reading = read_body(body, table.request_limits.max_body_bytes, &mut memory);
+    let mut body_memory = BodyMemory::empty(&node.memory);
+    let reading = read_body(body, table.request_limits.max_body_bytes, &mut body_memory);
     let body = match tokio::time::timeout_at(deadline.into(), reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::NoMemory)) => return Err(refuse_for_memory(node, &id, &route)),
@@ -96,6 +98,7 @@
         uri,
         headers: head.headers,
         body,
+        _memory: body_memory,
         id,
         repeatable: route.repeatable,
         deadline,
@@ -145,7 +148,7 @@
     if let Some(skipped) = state.allow_log_line("no memory") {
         let id = id.to_str().unwrap_or("?");
         let (route, rank) = (route.name.as_str(), route.rank);
-        let held = state.memory.held();
+        let held = node.memory.held();
         log::warn!(id, route, rank, held, skipped; "request: refused for lack of memory");
     }
     reply_to_body_error(BodyError::NoMemory)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,10 +23,10 @@
 
 use crate::HeaderNames;
 use crate::body::BodyError;
-use crate::body::Reserved;
 use crate::body::read_body;
 use crate::fingerprint::Fingerprint;
 use crate::links::SILENCE_TIMEOUT;
+use crate::memory::BodyMemory;
 use crate::metrics::Counter;
 use crate::named_limit::record_named_limit;
 use crate::node::CountGuard;
@@ -53,6 +53,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory reserved for the body.
+    pub(crate) _memory: BodyMemory,
     /// Value of the caller's request id header.
     pub(crate) id: HeaderValue,
     /// What the request has in common with the caller's other tries of it.
@@ -90,7 +92,7 @@
     /// Whether the server replied with an error, which is forwarded only if no other attempt succeeds.
     pub(crate) is_failure: bool,
     /// Memory reserved for the body.
-    pub(crate) memory: Option<Reserved>,
+    pub(crate) memory: Option<BodyMemory>,
 }
 
 /// Why an attempt ended without a usable reply.
@@ -238,7 +240,7 @@
         }
     };
     let (head, body) = response.into_parts();
-    let mut memory = Reserved::empty(node);
+    let mut memory = BodyMemory::empty(&node.memory);
     let body = match read_body(body, MAX_REPLY_BYTES, &mut memory).await {
         Ok(body) => body,
         Err(BodyError::Broken) => {
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -158,6 +158,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns how many bytes of a frame that is not complete are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether a frame has begun that is not complete.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/gateway/src/facts.rs
+++ b/crates/gateway/src/facts.rs
@@ -36,6 +36,8 @@
 
 use crate::Fingerprint;
 use crate::Peer;
+use crate::answer::Answer;
+use crate::answer::AnswerBody;
 use crate::pool::connect;
 
 /// Path under which gateways exchange facts.
@@ -347,15 +349,12 @@
 }
 
 /// Merges the facts of another gateway, and replies with those that are known here.
-pub(crate) async fn answer_facts(
-    facts: &Facts,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+pub(crate) async fn answer_facts(facts: &Facts, request: Request<Incoming>) -> Answer {
     let reply = facts.encode();
     if let Some(text) = read_text(request.into_body()).await {
         facts.merge(&text);
     }
-    Response::new(Full::new(reply.into()))
+    Response::new(AnswerBody::uncounted(reply.into()))
 }
 
 async fn read_text(body: Incoming) -> Option<String> {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,19 +12,19 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::Peer;
 use crate::Route;
 use crate::answer::Answer;
+use crate::answer::AnswerBody;
 use crate::answer::refuse;
 use crate::answer::reply_error;
 use crate::attempt::MAX_REPLY_BYTES;
 use crate::attempt::OutgoingRequest;
 use crate::attempt::remove_hop_headers;
-use crate::body::Reserved;
 use crate::body::read_body;
+use crate::memory::BodyMemory;
 use crate::metrics::Counter;
 use crate::node::CountGuard;
 use crate::node::Node;
@@ -172,7 +172,7 @@
         }
     };
     let (mut head, body) = response.into_parts();
-    let mut memory = Reserved::empty(node);
+    let mut memory = BodyMemory::empty(&node.memory);
     let body = read_body(body, MAX_REPLY_BYTES, &mut memory)
         .await
         .map_err(|_| HelperError::Lost)?;
@@ -192,7 +192,10 @@
     }
     remove_hop_headers(&mut head.headers);
     head.headers.remove(CUT_HEADER);
-    Ok(Response::from_parts(head, Full::new(body)))
+    Ok(Response::from_parts(
+        head,
+        AnswerBody::new(body, Some(memory)),
+    ))
 }
 
 /// Takes an idle connection or opens one. A request that may run only once gets a new one: if an idle one closes while
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -15,7 +15,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Either;
-use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use limit::RepeatPool;
@@ -28,6 +27,8 @@
 use crate::admit::AdmittedRequest;
 use crate::admit::admit;
 use crate::answer::Answer;
+use crate::answer::AnswerBody;
+use crate::answer::AnswerBytes;
 use crate::answer::refuse;
 use crate::attempt::Reply;
 use crate::delegation::Delegation;
@@ -36,6 +37,8 @@
 use crate::delegation::hash_services;
 use crate::forward::mark_cut;
 use crate::forward::refuse_cut;
+use crate::memory::BodyMemory;
+use crate::memory::Memory;
 use crate::metrics::Counter;
 use crate::node::CountGuard;
 use crate::node::Node;
@@ -45,26 +48,52 @@
 pub(crate) const ALIVE_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Response to another gateway.
-pub(crate) type PeerAnswer = Response<Either<Full<Bytes>, PartStream>>;
+pub(crate) type PeerAnswer = Response<Either<AnswerBody, PartStream>>;
+
+/// A frame that waits to be sent, and the memory reserved for its body.
+struct OutgoingFrame {
+    frame: Frame,
+    memory: Option<BodyMemory>,
+}
+
+impl OutgoingFrame {
+    /// Appends the frame to a buffer, and its memory to that of the buffer.
+    fn encode(self, out: &mut BytesMut, memory: &mut BodyMemory) {
+        self.frame.encode(out);
+        if let Some(own) = self.memory {
+            memory.absorb(own);
+        }
+    }
+}
+
+impl From<Frame> for OutgoingFrame {
+    fn from(frame: Frame) -> OutgoingFrame {
+        OutgoingFrame {
+            frame,
+            memory: None,
+        }
+    }
+}
 
 /// Body of a holder's reply. The attempts run as part of it, so that they are cancelled when the asking gateway closes
 /// the connection.
 pub(crate) struct PartStream {
     run: Pin<Box<dyn Future<Output = ()>>>,
-    frames: mpsc::UnboundedReceiver<Frame>,
+    frames: mpsc::UnboundedReceiver<OutgoingFrame>,
+    memory: Rc<Memory>,
     is_done: bool,
     /// Counts the request for as long as it is in progress, so that a planned stop waits for it.
     _guard: CountGuard,
 }
 
 impl Body for PartStream {
-    type Data = Bytes;
+    type Data = AnswerBytes;
     type Error = Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<hyper::body::Frame<AnswerBytes>, Infallible>>> {
         if !self.is_done && self.run.as_mut().poll(context).is_ready() {
             self.is_done = true;
         }
@@ -72,12 +101,14 @@
             return Poll::Ready(None);
         };
         let mut bytes = BytesMut::new();
-        first.encode(&mut bytes);
+        let mut memory = BodyMemory::empty(&self.memory);
+        first.encode(&mut bytes, &mut memory);
         // Parts that came together are sent together.
         while let Ok(frame) = self.frames.try_recv() {
-            frame.encode(&mut bytes);
+            frame.encode(&mut bytes, &mut memory);
         }
-        Poll::Ready(Some(Ok(hyper::body::Frame::data(bytes.freeze()))))
+        let data = AnswerBytes::new(bytes.freeze(), Some(memory));
+        Poll::Ready(Some(Ok(hyper::body::Frame::data(data))))
     }
 }
 
@@ -110,11 +141,13 @@
         .count(Counter::DelegationServed);
     let (sender, frames) = mpsc::unbounded_channel();
     let guard = CountGuard::new(node, |node| &node.delegations);
+    let memory = Rc::clone(&node.memory);
     let node = Rc::clone(node);
     let run = async move { run(&node, admitted, &delegation, &sender).await };
     Response::new(Either::Right(PartStream {
         run: Box::pin(run),
         frames,
+        memory,
         is_done: false,
         _guard: guard,
     }))
@@ -144,7 +177,7 @@
     node: &Rc<Node>,
     admitted: AdmittedRequest,
     delegation: &Delegation,
-    frames: &mpsc::UnboundedSender<Frame>,
+    frames: &mpsc::UnboundedSender<OutgoingFrame>,
 ) {
     let indices = &delegation.services;
     let Target::Shards { services, .. } = &admitted.route.target else {
@@ -203,17 +236,18 @@
             Some(progress) = received.recv() => run.record_progress(progress),
             () = tokio::time::sleep_until(wake.into()) => GatherEvent::Wake,
             _ = alive.tick() => {
-                let _ = frames.send(Frame::Alive);
+                let _ = frames.send(Frame::Alive.into());
                 // Without a timer that is due, this changes nothing.
                 GatherEvent::Wake
             }
         };
     }
     for service in gather.unanswered_services() {
-        let _ = frames.send(Frame::GivenUp {
+        let given_up = Frame::GivenUp {
             service: indices[service.index],
             runs: service.runs,
-        });
+        };
+        let _ = frames.send(given_up.into());
     }
     run.finish();
 }
@@ -223,25 +257,30 @@
     run: &RequestRun<'_>,
     gather: &Gather,
     indices: &[usize],
-    frames: &mpsc::UnboundedSender<Frame>,
+    frames: &mpsc::UnboundedSender<OutgoingFrame>,
 ) {
     let runs = run.end_attempts(gather);
     for service in gather.unanswered_services() {
-        // The receiver lives as long as the future that calls this.
-        let _ = frames.send(Frame::Returned {
+        let returned = Frame::Returned {
             service: indices[service.index],
             runs: runs[service.index],
-        });
+        };
+        // The receiver lives as long as the future that calls this.
+        let _ = frames.send(returned.into());
     }
 }
 
-fn build_part(node: &Node, service: usize, reply: Reply) -> Frame {
+fn build_part(node: &Node, service: usize, reply: Reply) -> OutgoingFrame {
     let signature = reply.headers.get(&node.headers.signature);
-    Frame::Part {
+    let frame = Frame::Part {
         service,
         signature: signature
             .map(|value| Bytes::copy_from_slice(value.as_bytes()))
             .unwrap_or_default(),
         body: reply.body,
+    };
+    OutgoingFrame {
+        frame,
+        memory: reply.memory,
     }
 }
--- a/crates/gateway/src/holder_client.rs
+++ b/crates/gateway/src/holder_client.rs
@@ -17,12 +17,12 @@
 use crate::Peer;
 use crate::attempt::OutgoingRequest;
 use crate::attempt::Reply;
-use crate::body::Reserved;
 use crate::delegation::Delegation;
 use crate::delegation::Frame;
 use crate::delegation::FrameDecoder;
 use crate::delegation::HEADER;
 use crate::forward::CUT_HEADER;
+use crate::memory::BodyMemory;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::pool::Connection;
@@ -215,6 +215,7 @@
     results: &UnboundedSender<Progress>,
 ) -> Result<(), Lost> {
     let mut decoder = FrameDecoder::default();
+    let mut memory = BodyMemory::empty(&node.memory);
     loop {
         let received = tokio::time::timeout(SILENCE_TIMEOUT, body.frame()).await;
         let bytes = match received {
@@ -223,6 +224,9 @@
             Ok(None) => break,
             Err(_) => return Err(lost("the holder fell silent", true)),
         };
+        if !memory.grow(bytes.len() as u64) {
+            return Err(lost("no memory left for the reply", true));
+        }
         decoder.extend(&bytes);
         loop {
             match decoder.next_frame() {
@@ -236,6 +240,7 @@
                 Err(_) => return Err(lost("the reply is not valid", true)),
             }
         }
+        memory.shrink_to(decoder.buffered() as u64);
     }
     if !open.is_empty() || decoder.is_partial() {
         return Err(lost("the reply ended early", true));
@@ -275,7 +280,7 @@
 
 /// Builds the reply of a server from a part, or returns `None` if no memory is left or the signature is not valid.
 fn build_reply(node: &Rc<Node>, signature: &[u8], body: Bytes) -> Option<Reply> {
-    let mut memory = Reserved::empty(node);
+    let mut memory = BodyMemory::empty(&node.memory);
     if !memory.grow(body.len() as u64) {
         return None;
     }
@@ -283,7 +288,8 @@
     Some(Reply {
         status: StatusCode::OK,
         headers: HeaderMap::from_iter([(node.headers.signature.clone(), signature)]),
-        body,
+        // The part is a slice of the buffer of all parts, which is not kept for it.
+        body: Bytes::copy_from_slice(&body),
         is_failure: false,
         memory: Some(memory),
     })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod ingress;
 mod links;
 mod logging;
+mod memory;
 mod merge;
 mod metrics;
 mod named_limit;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,7 +12,6 @@
 use base::RegionName;
 use limit::LatencyHistogram;
 use limit::Limits;
-use limit::MemoryBudget;
 use limit::RepeatPool;
 use limit::RepeatRule;
 use limit::Tuning;
@@ -39,6 +38,7 @@
 use crate::helpers::Place;
 use crate::holder_client::HolderPool;
 use crate::links::Links;
+use crate::memory::Memory;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::packed::PackedBodies;
@@ -64,9 +64,9 @@
 /// Holders of one shard in a zone that share the limit: the first one, and the one that replaces it.
 const SENDERS_PER_ZONE: u32 = 2;
 
-/// Divisor of the process's memory that gives the budget for requests in progress; the rest is for code, tables,
-/// connections and answers that callers are slow to read.
-const MEMORY_DIVISOR: u64 = 2;
+/// Percentage of the process's memory that callers and servers may make it hold; the rest is for code, tables, what the
+/// store and other gateways send, and fragmentation.
+const BUDGET_PERCENT: u64 = 60;
 
 /// State of the process that its tasks read and change; it is never borrowed across an await.
 #[derive(Debug)]
@@ -76,8 +76,6 @@
     pub(crate) directory: Directory,
     pub(crate) limits: Limits,
     pub(crate) pool: Pool,
-    /// Memory budget of the requests in progress.
-    pub(crate) memory: MemoryBudget,
     pub(crate) rng: Pcg64Mcg,
     /// Last attempt id that was assigned.
     pub(crate) next_attempt: AttemptId,
@@ -112,6 +110,8 @@
     pub(crate) state: RefCell<State>,
     pub(crate) headers: HeaderNames,
     pub(crate) platform: Box<dyn Platform>,
+    /// What callers and servers make this process hold.
+    pub(crate) memory: Rc<Memory>,
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are refused, because they might not end within the grace period.
     pub(crate) refusing: Cell<bool>,
@@ -151,10 +151,10 @@
             },
         );
         limits.set_repeat_rule(RepeatPool::Shared, settings.repeats);
+        let memory = Memory::new(budget_bytes(&settings));
         let facts = Facts::new(settings.node.clone(), seed);
         let state = State {
             directory: Directory::new(),
-            memory: MemoryBudget::new(settings.memory_bytes / MEMORY_DIVISOR),
             settings,
             table: None,
             limits,
@@ -179,6 +179,7 @@
         };
         Node {
             state: RefCell::new(state),
+            memory,
             headers: platform.headers(),
             platform,
             stopping: Cell::new(false),
@@ -203,6 +204,12 @@
         (max_fds.saturating_sub(RESERVED_FDS) / 2) as usize
     }
 
+    /// Puts changed settings into force.
+    pub(crate) fn set_settings(&self, settings: Settings) {
+        self.memory.set_limit(budget_bytes(&settings));
+        self.state.borrow_mut().set_settings(settings);
+    }
+
     /// Returns the other gateways.
     pub(crate) fn other_peers(&self) -> Vec<Peer> {
         let state = self.state.borrow();
@@ -237,6 +244,11 @@
     }
 }
 
+/// Returns the bytes that callers and servers may make a process hold.
+fn budget_bytes(settings: &Settings) -> u64 {
+    settings.memory_bytes / 100 * BUDGET_PERCENT
+}
+
 /// Counts something for as long as it lasts, in one of the counters of a [`Node`].
 pub(crate) struct CountGuard {
     node: Rc<Node>,
@@ -336,8 +348,6 @@
             log::warn!("settings: an address changed; it takes effect after a restart");
         }
         log::info!(grace:? = settings.grace, repeats:? = settings.repeats; "settings: in force");
-        self.memory
-            .set_limit(settings.memory_bytes / MEMORY_DIVISOR);
         self.settings = settings;
         self.update_repeat_share();
     }
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -8,18 +8,19 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use query::Gather;
 use query::GatherOutcome;
 use query::UnansweredService;
 
 use crate::Target;
 use crate::answer::Answer;
+use crate::answer::AnswerBody;
 use crate::answer::forward_reply;
 use crate::answer::refuse_for;
 use crate::answer::reply_error;
 use crate::attempt::Reply;
 use crate::holders::Assignment;
+use crate::memory::BodyMemory;
 use crate::merge::merge_records;
 use crate::metrics::Counter;
 use crate::named_limit::quota_wait;
@@ -124,20 +125,29 @@
                 Some(reply) => forward_reply(reply),
                 None => reply_error(StatusCode::BAD_GATEWAY, "the reply is gone"),
             },
-            Target::Shards { top_k, .. } => self.merge_replies(&replies, *top_k, missing),
+            Target::Shards { top_k, .. } => self.merge_replies(replies, *top_k, missing),
         }
     }
 
-    fn merge_replies(&self, replies: &[Reply], top_k: usize, missing: usize) -> Answer {
+    fn merge_replies(&self, mut replies: Vec<Reply>, top_k: usize, missing: usize) -> Answer {
         let names = &self.node.headers;
         let bodies: Vec<Bytes> = replies.iter().map(|reply| reply.body.clone()).collect();
         let signatures: Vec<&str> = replies
             .iter()
             .filter_map(|reply| reply.headers.get(&names.signature)?.to_str().ok())
             .collect();
-        let mut answer = Response::new(Full::new(merge_records(&bodies, top_k)));
+        let signatures = signatures.join(", ");
+        let merged = merge_records(&bodies, top_k);
+        // The merged body is no larger than the parts, whose memory it takes over.
+        let mut memory = BodyMemory::empty(&self.node.memory);
+        replies
+            .iter_mut()
+            .filter_map(|reply| reply.memory.take())
+            .for_each(|part| memory.absorb(part));
+        memory.shrink_to(merged.len() as u64);
+        let mut answer = Response::new(AnswerBody::new(merged, Some(memory)));
         let headers = answer.headers_mut();
-        if let Ok(value) = HeaderValue::from_str(&signatures.join(", ")) {
+        if let Ok(value) = HeaderValue::from_str(&signatures) {
             headers.insert(&names.parts, value);
         }
         headers.insert(&names.missing, HeaderValue::from(missing));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -31,6 +31,8 @@
 use crate::StoreRevision;
 use crate::StoreVersion;
 use crate::accept::serve_connections;
+use crate::answer::Answer;
+use crate::answer::AnswerBody;
 use crate::delegation::HEADER;
 use crate::era::ERA_HEADER;
 use crate::facts::FACTS_PATH;
@@ -179,7 +181,7 @@
 }
 
 /// Answers a long poll when there are changes or [`POLL_TIMEOUT`] has passed, or at once if the store is lost.
-async fn answer_peer(node: &Node, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer_peer(node: &Node, request: &Request<Incoming>) -> Answer {
     let path = request.uri().path();
     if path == PEERS_PATH {
         let peers = node.state.borrow().peers.encode();
@@ -239,7 +241,7 @@
     (kind, era): (ObjectKind, StoreEra),
     status: StatusCode,
     body: Bytes,
-) -> Response<Full<Bytes>> {
+) -> Answer {
     let mut response = pack_reply(node, request, kind, status, body);
     response.headers_mut().insert(ERA_HEADER, era.into());
     response
@@ -252,7 +254,7 @@
     kind: ObjectKind,
     status: StatusCode,
     body: Bytes,
-) -> Response<Full<Bytes>> {
+) -> Answer {
     let accepts = request.headers().get(ACCEPT_ENCODING);
     if accepts.is_none_or(|value| value != ENCODING) {
         return reply(status, body);
@@ -273,8 +275,8 @@
     response
 }
 
-fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
+fn reply(status: StatusCode, body: Bytes) -> Answer {
+    let mut response = Response::new(AnswerBody::uncounted(body));
     *response.status_mut() = status;
     response
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -174,7 +174,7 @@
 async fn watch_settings(node: Rc<Node>, mut changes: watch::Receiver<Settings>) {
     while changes.changed().await.is_ok() {
         let settings = changes.borrow_and_update().clone();
-        node.state.borrow_mut().set_settings(settings);
+        node.set_settings(settings);
     }
 }
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -75,6 +75,7 @@
 pub use crate::limits::Permit;
 pub use crate::limits::connection_share;
 pub use crate::memory::MemoryBudget;
+pub use crate::memory::MemoryUse;
 pub use crate::quota::LimitChange;
 pub use crate::quota::LimitNotice;
 pub use crate::quota::QuotaShare;
--- a/crates/limit/tests/memory.rs
+++ b/crates/limit/tests/memory.rs
@@ -1,6 +1,7 @@
 //! Admission of requests while memory is short.
 
 use limit::MemoryBudget;
+use limit::MemoryUse;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -25,8 +26,31 @@
     let mut budget = MemoryBudget::new(160_000);
     assert!(budget.admit(8, 80_000));
     assert!(!budget.admit(8, 1));
-    assert!(budget.grow(80_000));
-    assert!(!budget.grow(1));
+    assert!(budget.charge(MemoryUse::Request, 80_000));
+    assert!(!budget.charge(MemoryUse::Request, 1));
+}
+
+/// Guards against large bodies and connections that together leave nothing for requests with small bodies.
+#[test]
+fn other_uses_leave_memory_for_requests() {
+    let mut budget = MemoryBudget::new(160_000);
+    for purpose in [MemoryUse::LargeBody, MemoryUse::Caller, MemoryUse::Upstream] {
+        while budget.charge(purpose, 1_000) {}
+    }
+    assert_eq!(budget.held_for(MemoryUse::LargeBody), 50_000);
+    assert_eq!(budget.held_for(MemoryUse::Caller), 50_000);
+    assert_eq!(budget.held_for(MemoryUse::Upstream), 20_000);
+    assert!(budget.charge(MemoryUse::Request, 40_000));
+    assert!(!budget.charge(MemoryUse::Request, 1));
+}
+
+fn any_use() -> impl Strategy<Value = MemoryUse> {
+    prop_oneof![
+        Just(MemoryUse::Request),
+        Just(MemoryUse::LargeBody),
+        Just(MemoryUse::Caller),
+        Just(MemoryUse::Upstream),
+    ]
 }
 
 proptest! {
@@ -34,19 +58,21 @@
     #[test]
     fn limit_holds(
         limit in 0..10_000_u64,
-        steps in prop::collection::vec((0..12_u32, any::<u64>(), any::<bool>()), 0..200),
+        steps in prop::collection::vec((0..12_u32, any_use(), any::<u64>(), any::<bool>()), 0..200),
     ) {
         let mut budget = MemoryBudget::new(limit);
         let mut held = Vec::new();
-        for (rank, bytes, huge) in steps {
+        for (rank, purpose, bytes, huge) in steps {
             let bytes = if huge { bytes } else { bytes % 3_000 };
             if rank == 11 {
-                held.pop().into_iter().for_each(|bytes| budget.release(bytes));
+                held.pop().into_iter().for_each(|(purpose, bytes)| budget.release(purpose, bytes));
             } else if budget.admit(rank, bytes) {
-                held.push(bytes);
+                held.push((MemoryUse::Request, bytes));
+            } else if budget.charge(purpose, bytes) {
+                held.push((purpose, bytes));
             }
             prop_assert!(budget.held() <= limit);
-            prop_assert_eq!(budget.held(), held.iter().sum::<u64>());
+            prop_assert_eq!(budget.held(), held.iter().map(|(_, bytes)| bytes).sum::<u64>());
         }
     }
 }
