gateway: an attempt that is cancelled before it has begun returns its permit

Callers' requests waited 30 s for a server that had nothing to do, and were then refused.

Cause: the permit of an attempt was returned by a guard that its task made when it first ran. A task that is cancelled before that (the connection of the caller is closed in the same turn, or another attempt blocks the request) drops the permit alone, and the gate of the server counts it as in flight for ever. After as many as the gate allows, nothing is sent to that server any more by this gateway.

Change: the guard is made together with the task, so that the task owns it from the start.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -104,13 +104,22 @@
     unsent: bool,
 }
 
-/// Returns a permit to its gate when dropped, also if the attempt is cancelled.
-struct PermitGuard {
+/// Returns a permit to its gate when dropped, also if the attempt is cancelled, even before its task has run at all.
+pub(crate) struct PermitGuard {
     node: Rc<Node>,
     permit: Option<Permit>,
+    key: GateKey,
 }
 
 impl PermitGuard {
+    pub(crate) fn new(node: &Rc<Node>, permit: Permit) -> PermitGuard {
+        PermitGuard {
+            node: Rc::clone(node),
+            key: permit.key(),
+            permit: Some(permit),
+        }
+    }
+
     fn release(&mut self, outcome: AttemptOutcome) {
         if let Some(permit) = self.permit.take() {
             let mut state = self.node.state.borrow_mut();
@@ -130,22 +139,18 @@
 pub(crate) async fn send_attempt(
     node: Rc<Node>,
     outgoing: Rc<OutgoingRequest>,
-    permit: Permit,
+    mut permit: PermitGuard,
     gate: Rc<SendGate>,
     careful: bool,
 ) -> Result<Reply, AttemptError> {
-    let key = permit.key();
-    let mut guard = PermitGuard {
-        node: Rc::clone(&node),
-        permit: Some(permit),
-    };
+    let key = permit.key;
     let result = watch_exchange(&node, exchange(&node, &outgoing, key, &gate, careful)).await;
     if let Err(error) = &result
         && error.failure == Failure::Broken
     {
         report_broken(&node, &outgoing, key);
     }
-    guard.release(match &result {
+    permit.release(match &result {
         Ok(reply) if reply.is_failure => AttemptOutcome::Failed,
         Ok(_) => AttemptOutcome::Replied,
         Err(error) => match error.failure {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -37,6 +37,7 @@
 use crate::answer::reply_error;
 use crate::attempt::AttemptError;
 use crate::attempt::OutgoingRequest;
+use crate::attempt::PermitGuard;
 use crate::attempt::Reply;
 use crate::attempt::send_attempt;
 use crate::delegation::Delegation;
@@ -454,6 +455,7 @@
             self.sent.insert(id, now);
         }
         let node = Rc::clone(self.node);
+        let permit = PermitGuard::new(self.node, permit);
         let outgoing = Rc::clone(&self.outgoing);
         let results = self.results.clone();
         let gate = Rc::new(SendGate::default());
