gateway: without room, the connection that is the least loss is closed

Ordinary callers got connection resets for as long as a crowd liked: it took all connections by opening them and sending nothing, by sending a head a byte at a time, by not reading answers, or by keeping connections idle. The crowd could also fill the memory that requests are admitted to, and other addresses had no limit at all.

Cause: at the limit every newcomer was turned away, whatever the open connections did; what a connection costs by itself was not counted; the time for a head was that for an idle connection; the addresses for readiness checks, metrics and other gateways accepted everything.

Change: limit::Connections knows what each connection is doing, without I/O. A newcomer displaces the oldest one that has brought no complete request, then the one that holds most for longest, then one that has been idle for four fifths of the idle timeout; one whose request runs is never closed. When memory is short, a request or a body waits a little, and the connection that holds most for longest (from 2 s on) is closed for it; with room nobody is cut. From three quarters of the connections on, answers say Connection: close. A head has header_timeout_ms; a suspension of the process doesn't count. The next request of a connection waits until the answer before it is sent. Connections are charged to the budget, with large heads as they come. All addresses have such a door: callers and servers 40% of the descriptors each (50% before), other gateways 20%, readiness checks and metrics 16 connections each. 16 connections of each address need no memory, so that some callers get a 503 and the load balancer is always served.

Budgets of limit::MemoryBudget take the use of the memory as a parameter.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http::Uri;
 use hyper::body::Incoming;
+use limit::Phase;
 
 use crate::Route;
 use crate::RouteTable;
@@ -20,11 +21,13 @@
 use crate::attempt::remove_hop_headers;
 use crate::body::BodyError;
 use crate::body::read_body;
+use crate::door::Slot;
 use crate::fingerprint::Fingerprint;
 use crate::memory::BodyMemory;
 use crate::memory::Reserved;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::room::admit_request;
 
 /// Time before the latency objective at which a partial answer is sent, so that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
@@ -57,6 +60,7 @@
     node: &Rc<Node>,
     request: Request<Incoming>,
     arrived: Instant,
+    slot: &Slot,
 ) -> Result<AdmittedRequest, Answer> {
     let (mut head, body) = request.into_parts();
     let timeout = read_timeout(node, &head);
@@ -74,11 +78,19 @@
     let left = timeout.unwrap_or(route.timeout);
     let deadline = arrived + left.min(route.timeout);
     let cost = REQUEST_BYTES + ATTEMPT_BYTES * route.target.fan_out();
-    let memory = Reserved::admit(&node.memory, route.rank, cost)
-        .ok_or_else(|| refuse_for_memory(node, &id, &route))?;
+    let memory = admit_request(node, route.rank, cost).await;
+    let memory = memory.ok_or_else(|| refuse_for_memory(node, &id, &route))?;
     let mut body_memory = BodyMemory::empty(&node.memory);
-    let reading = read_body(body, table.request_limits.max_body_bytes, &mut body_memory);
-    let body = match tokio::time::timeout_at(deadline.into(), reading).await {
+    let reading = read_body(
+        node,
+        body,
+        table.request_limits.max_body_bytes,
+        &mut body_memory,
+    );
+    slot.begin(Phase::Body);
+    let read = tokio::time::timeout_at(deadline.into(), reading).await;
+    slot.begin(Phase::Busy);
+    let body = match read {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::NoMemory)) => return Err(refuse_for_memory(node, &id, &route)),
         Ok(Err(error)) => return Err(reply_to_body_error(error)),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -246,7 +246,7 @@
     };
     let (head, body) = response.into_parts();
     let mut memory = BodyMemory::empty(&node.memory);
-    let body = match read_body(body, MAX_REPLY_BYTES, &mut memory).await {
+    let body = match read_body(node, body, MAX_REPLY_BYTES, &mut memory).await {
         Ok(body) => body,
         Err(BodyError::Broken) => {
             return fail(Failure::Broken, "the connection closed within the reply");
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -6,6 +6,8 @@
 use hyper::body::Incoming;
 
 use crate::memory::BodyMemory;
+use crate::node::Node;
+use crate::room::grow_body;
 
 /// Why a body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -20,6 +22,7 @@
 
 /// Reads a body of at most `max_bytes`, and adds what is allocated for it to the reservation `memory`.
 pub(crate) async fn read_body(
+    node: &Node,
     mut body: Incoming,
     max_bytes: usize,
     memory: &mut BodyMemory,
@@ -41,7 +44,8 @@
         }
         if length > bytes.capacity() {
             let capacity = (bytes.capacity() * 2).min(largest).max(length);
-            if !memory.grow((capacity - bytes.capacity()) as u64) {
+            let more = (capacity - bytes.capacity()) as u64;
+            if !grow_body(node, memory, more).await {
                 return Err(BodyError::NoMemory);
             }
             bytes.reserve_exact(capacity - bytes.len());
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -24,6 +24,7 @@
 use crate::attempt::OutgoingRequest;
 use crate::attempt::remove_hop_headers;
 use crate::body::read_body;
+use crate::door::Slot;
 use crate::memory::BodyMemory;
 use crate::metrics::Counter;
 use crate::node::CountGuard;
@@ -173,7 +174,7 @@
     };
     let (mut head, body) = response.into_parts();
     let mut memory = BodyMemory::empty(&node.memory);
-    let body = read_body(body, MAX_REPLY_BYTES, &mut memory)
+    let body = read_body(node, body, MAX_REPLY_BYTES, &mut memory)
         .await
         .map_err(|_| HelperError::Lost)?;
     let is_kept = !connection.sender.is_closed();
@@ -228,7 +229,11 @@
 }
 
 /// Serves a request for a gateway that reaches no server; a refusal proves that it has not run.
-pub(crate) async fn answer_forwarded(node: &Rc<Node>, mut request: Request<Incoming>) -> Answer {
+pub(crate) async fn answer_forwarded(
+    node: &Rc<Node>,
+    mut request: Request<Incoming>,
+    slot: &Slot,
+) -> Answer {
     let value = request.headers_mut().remove(FORWARDED_HEADER);
     if node.links.is_cut() {
         return mark_cut(refuse_cut(false));
@@ -245,7 +250,7 @@
         .borrow_mut()
         .metrics
         .count(Counter::RequestServedForPeer);
-    let answer = handle_request(Rc::clone(node), request, Origin::Gateway { used }).await;
+    let answer = handle_request(Rc::clone(node), request, Origin::Gateway { used }, slot).await;
     match node.links.is_cut() {
         true => mark_cut(answer),
         false => answer,
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -35,6 +35,7 @@
 use crate::delegation::Frame;
 use crate::delegation::HEADER;
 use crate::delegation::hash_services;
+use crate::door::Slot;
 use crate::forward::mark_cut;
 use crate::forward::refuse_cut;
 use crate::memory::BodyMemory;
@@ -113,7 +114,11 @@
 }
 
 /// Answers a delegated request; a refusal proves that nothing of it has run.
-pub(crate) async fn answer_delegated(node: &Rc<Node>, request: Request<Incoming>) -> PeerAnswer {
+pub(crate) async fn answer_delegated(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+    slot: &Slot,
+) -> PeerAnswer {
     let arrived = Instant::now();
     let value = request.headers().get(HEADER).cloned();
     if node.links.is_cut() {
@@ -122,7 +127,7 @@
     if node.stopping.get() {
         return refuse("this gateway is stopping").map(Either::Left);
     }
-    let mut admitted = match admit(node, request, arrived).await {
+    let mut admitted = match admit(node, request, arrived, slot).await {
         Ok(admitted) => admitted,
         Err(answer) => return answer.map(Either::Left),
     };
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Memory {
     budget: RefCell<MemoryBudget>,
-    /// Wakes tasks that wait for the memory of large bodies.
+    /// Wakes tasks that wait for memory.
     released: Notify,
 }
 
@@ -30,6 +30,16 @@
         self.budget.borrow_mut().set_limit(limit);
     }
 
+    /// Returns whether most of the memory for a use is taken.
+    pub(crate) fn is_crowded(&self, purpose: MemoryUse) -> bool {
+        self.budget.borrow().is_crowded(purpose)
+    }
+
+    /// Waits until memory is returned.
+    pub(crate) async fn wait_released(&self) {
+        self.released.notified().await;
+    }
+
     /// Returns the bytes that are held.
     pub(crate) fn held(&self) -> u64 {
         self.budget.borrow().held()
@@ -82,12 +92,17 @@
         fits
     }
 
+    /// Returns the reserved bytes.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// Returns some bytes to the budget.
     fn shrink(&mut self, bytes: u64) {
         let bytes = bytes.min(self.bytes);
         self.bytes -= bytes;
         self.memory.budget.borrow_mut().release(self.purpose, bytes);
-        if self.purpose == MemoryUse::LargeBody && bytes > 0 {
+        if bytes > 0 {
             self.memory.released.notify_waiters();
         }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,6 +33,8 @@
 use crate::Settings;
 use crate::ShardSenders;
 use crate::StoreEra;
+use crate::doors::Doors;
+use crate::doors::connection_limit;
 use crate::facts::Facts;
 use crate::helpers::Helpers;
 use crate::helpers::Place;
@@ -54,9 +56,6 @@
 /// Shortest delay before a hedge, so that scheduling jitter of the VM itself causes none.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(8);
 
-/// File descriptors reserved for the store, other gateways and listening sockets.
-const RESERVED_FDS: u32 = 200;
-
 /// Fraction of the limit on repeats that the holders of a shard spend; the rest is for the gateways that send in the place
 /// of a lost one.
 const HOLDER_REPEATS: f64 = 0.6;
@@ -112,6 +111,8 @@
     pub(crate) platform: Box<dyn Platform>,
     /// What callers and servers make this process hold.
     pub(crate) memory: Rc<Memory>,
+    /// The connections that others have opened.
+    pub(crate) doors: Doors,
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are refused, because they might not end within the grace period.
     pub(crate) refusing: Cell<bool>,
@@ -129,8 +130,6 @@
     pub(crate) peers_listed: Notify,
     /// Wakes the task that registers this gateway, after a restore of the store.
     pub(crate) store_restored: Notify,
-    /// Number of open connections of callers.
-    pub(crate) caller_connections: Cell<usize>,
     /// Number of requests in progress for which this gateway is a holder.
     pub(crate) delegations: Cell<usize>,
     /// Number of open connections to servers.
@@ -152,6 +151,7 @@
         );
         limits.set_repeat_rule(RepeatPool::Shared, settings.repeats);
         let memory = Memory::new(budget_bytes(&settings));
+        let doors = Doors::new(&memory, &settings);
         let facts = Facts::new(settings.node.clone(), seed);
         let state = State {
             directory: Directory::new(),
@@ -180,6 +180,7 @@
         Node {
             state: RefCell::new(state),
             memory,
+            doors,
             headers: platform.headers(),
             platform,
             stopping: Cell::new(false),
@@ -191,22 +192,20 @@
             loaded: Notify::new(),
             peers_listed: Notify::new(),
             store_restored: Notify::new(),
-            caller_connections: Cell::new(0),
             delegations: Cell::new(0),
             upstream_connections: Cell::new(0),
         }
     }
 
-    /// Returns how many connections of callers may be open, and as many to servers: half of the unreserved descriptors
-    /// each.
+    /// Returns how many connections to servers may be open.
     pub(crate) fn connection_limit(&self) -> usize {
-        let max_fds = self.state.borrow().settings.max_fds;
-        (max_fds.saturating_sub(RESERVED_FDS) / 2) as usize
+        connection_limit(&self.state.borrow().settings)
     }
 
     /// Puts changed settings into force.
     pub(crate) fn set_settings(&self, settings: Settings) {
         self.memory.set_limit(budget_bytes(&settings));
+        self.doors.set_limits(&settings);
         self.state.borrow_mut().set_settings(settings);
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::StoreEra;
 use crate::StoreRevision;
 use crate::StoreVersion;
+use crate::accept::ConnectionLimits;
 use crate::accept::serve_connections;
 use crate::answer::Answer;
 use crate::answer::AnswerBody;
@@ -53,6 +54,12 @@
 /// Time beyond [`POLL_TIMEOUT`] after which a relay counts as unresponsive.
 const POLL_MARGIN: Duration = Duration::from_millis(250);
 
+/// Limits of the connections of other gateways. A forwarded request has the caller's head and some more headers.
+const PEER_LIMITS: ConnectionLimits = ConnectionLimits {
+    idle_timeout: Duration::from_secs(15),
+    max_head_bytes: 128 << 10,
+};
+
 /// Path that returns the list of all gateways.
 const PEERS_PATH: &str = "/peers";
 
@@ -162,14 +169,18 @@
 
 /// Serves requests of other gateways until the process ends.
 pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
-    serve_connections(listener, move |request| {
-        let node = Rc::clone(&node);
+    let door = Rc::clone(&node.doors.peers);
+    let answering = Rc::clone(&node);
+    serve_connections(node, door, listener, PEER_LIMITS, move |request, slot| {
+        let node = Rc::clone(&answering);
         async move {
             if request.headers().contains_key(HEADER) {
-                return answer_delegated(&node, request).await;
+                return answer_delegated(&node, request, &slot).await;
             }
             if request.headers().contains_key(FORWARDED_HEADER) {
-                return answer_forwarded(&node, request).await.map(Either::Left);
+                return answer_forwarded(&node, request, &slot)
+                    .await
+                    .map(Either::Left);
             }
             if request.uri().path() == FACTS_PATH {
                 return answer_facts(&node.facts, request).await.map(Either::Left);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -42,6 +42,7 @@
 use crate::attempt::send_attempt;
 use crate::delegation::Delegation;
 use crate::delegation::hash_services;
+use crate::door::Slot;
 use crate::forward::Forwarded;
 use crate::forward::Forwarding;
 use crate::forward::forward;
@@ -100,11 +101,12 @@
     node: Rc<Node>,
     request: Request<Incoming>,
     origin: Origin,
+    slot: &Slot,
 ) -> Answer {
     let arrived = Instant::now();
     let admitted = match node.refusing.get() {
         true => Err(refuse("this gateway is stopping")),
-        false => admit(&node, request, arrived).await,
+        false => admit(&node, request, arrived, slot).await,
     };
     let mut answer = match admitted {
         Ok(mut admitted) => {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -26,6 +26,7 @@
 use crate::ingress::serve_callers;
 use crate::ingress::serve_metrics;
 use crate::ingress::serve_ready;
+use crate::ingress::watch_connections;
 use crate::links::watch_links;
 use crate::node::Node;
 use crate::relay::serve_peers;
@@ -125,6 +126,7 @@
     tokio::task::spawn_local(serve_peers(Rc::clone(&node), peer));
     tokio::task::spawn_local(discover_peers(Rc::clone(&node), client.clone()));
     tokio::task::spawn_local(sweep(Rc::clone(&node)));
+    tokio::task::spawn_local(watch_connections(Rc::clone(&node)));
     let others = Rc::clone(&node);
     let spreading = spread_facts(Rc::clone(&node.facts), move || others.other_peers());
     tokio::task::spawn_local(spreading);
@@ -182,13 +184,13 @@
 async fn drain(node: &Node, close: &watch::Sender<bool>, grace: Duration) {
     let began = Instant::now();
     node.stopping.set(true);
-    log::info!(callers = node.caller_connections.get(); "gateway: stopping");
+    log::info!(callers = node.doors.callers.len(); "gateway: stopping");
     tokio::time::sleep(NOTICE_TIME.min(grace / 2)).await;
     node.refusing.set(true);
     // Sending fails only if every receiver is gone, and with them the connections to close.
     let _ = close.send(true);
     let end = began + grace.saturating_sub(END_MARGIN);
-    let is_busy = || node.caller_connections.get() > 0 || node.delegations.get() > 0;
+    let is_busy = || node.doors.callers.len() > 0 || node.delegations.get() > 0;
     while is_busy() && Instant::now() < end {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
@@ -196,7 +198,7 @@
         node.ending.notify_waiters();
         tokio::time::sleep(ANSWER_TIME).await;
     }
-    let (callers, delegations) = (node.caller_connections.get(), node.delegations.get());
+    let (callers, delegations) = (node.doors.callers.len(), node.delegations.get());
     log::info!(callers, delegations; "gateway: stopped");
 }
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Each upstream has a [`Gate`] with its connection share, adaptive concurrency limit, drain state and reply times.
 //! [`Limits`] chooses among replicas and issues permits. A [`ServiceBudget`] bounds the hedges and retries of a
-//! service, and [`Admission`] queues queries for which there is no capacity. The crate never reads the clock: callers
+//! service, and [`Admission`] queues queries for which there is no capacity. [`MemoryBudget`] bounds what others make the
+//! process hold, and [`Connections`] chooses whose connection is closed when there is no room. The crate never reads the clock: callers
 //! pass the current time. See `docs/design.md`, section 5.
 //!
 //! ```
@@ -45,6 +46,7 @@
 mod attempt;
 mod budget;
 mod concurrency;
+mod connections;
 mod error_rate;
 mod ewma;
 mod fastest;
@@ -67,6 +69,10 @@
 pub use crate::attempt::Blocked;
 pub use crate::attempt::Distance;
 pub use crate::budget::ServiceBudget;
+pub use crate::connections::Closed;
+pub use crate::connections::ConnectionKey;
+pub use crate::connections::Connections;
+pub use crate::connections::Phase;
 pub use crate::gate::Gate;
 pub use crate::latency::LatencyHistogram;
 pub use crate::limits::CONNECTION_RESERVE_PERCENT;
--- a/crates/limit/src/memory.rs
+++ b/crates/limit/src/memory.rs
@@ -7,6 +7,9 @@
 /// Rank from which on the reserved part no longer grows, so that half of the limit remains for the least urgent.
 const MAX_RANK: u64 = 8;
 
+/// Share of a part from which on it counts as crowded, in percent.
+const CROWDED_PERCENT: u128 = 75;
+
 /// What memory is used for. Each use has a part of the budget, and the parts of all but [`MemoryUse::Request`] leave some
 /// for it, so that requests with small bodies are served while the others are full.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,7 +33,7 @@
         match self {
             MemoryUse::Request => PART_DIVISOR,
             MemoryUse::LargeBody | MemoryUse::Caller => 5,
-            MemoryUse::Upstream => 2,
+            MemoryUse::Upstream => 3,
         }
     }
 }
@@ -74,12 +77,16 @@
 
     /// Returns whether more memory fits into the budget.
     pub fn has_room(&self, purpose: MemoryUse, bytes: u64) -> bool {
-        let part = u128::from(self.limit) * u128::from(purpose.part()) / u128::from(PART_DIVISOR);
-        // A part is at most the limit.
-        let part = part as u64;
+        let part = self.part_of(purpose);
         fits(self.held_for(purpose), bytes, part) && fits(self.held(), bytes, self.limit)
     }
 
+    /// Returns whether most of the part of a use is held.
+    pub fn is_crowded(&self, purpose: MemoryUse) -> bool {
+        let part = self.part_of(purpose);
+        u128::from(self.held_for(purpose)) * 100 >= u128::from(part) * CROWDED_PERCENT
+    }
+
     /// Returns memory to the budget.
     pub fn release(&mut self, purpose: MemoryUse, bytes: u64) {
         let held = &mut self.held[purpose as usize];
@@ -96,6 +103,12 @@
         self.held[purpose as usize]
     }
 
+    fn part_of(&self, purpose: MemoryUse) -> u64 {
+        let part = u128::from(self.limit) * u128::from(purpose.part()) / u128::from(PART_DIVISOR);
+        // A part is at most the limit.
+        part as u64
+    }
+
     fn charge_within(&mut self, limit: u64, purpose: MemoryUse, bytes: u64) -> bool {
         let fits = fits(self.held(), bytes, limit);
         if fits {
