gateway: a reply without memory is not repeated, and its request is refused before it runs where that can be known

A caller whose answer the gateway had no memory for waited for three runs of its request, each on a server that could not be relied on afterwards, and got 502.

Cause: own lack of memory was Failure::Lost: the request was sent to the next server, up to its three attempts, with no more room for the reply, and counted as a failure of the server.

Change: Failure::Dropped ends the service without a repeat and returns the permit like a cancelled attempt. The gateway keeps the mean size of large replies of each route, and reserves that (and a quarter more) before it sends anything; without room it refuses the request with 503, which is true then. While nothing large is held the request is tried anyway, so that a wrong mean doesn't refuse for ever. A reply that doesn't fit into its part at all fails at once, others wait a little for room. New counter replies_without_memory, and a log line.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -27,7 +27,9 @@
 use crate::memory::Reserved;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::room::NoMemory;
 use crate::room::admit_request;
+use crate::room::reserve_replies;
 
 /// Time before the latency objective at which a partial answer is sent, so that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
@@ -80,6 +82,8 @@
     let cost = REQUEST_BYTES + ATTEMPT_BYTES * route.target.fan_out();
     let memory = admit_request(node, route.rank, cost).await;
     let memory = memory.ok_or_else(|| refuse_for_memory(node, &id, &route))?;
+    let advance = reserve_replies(node, &route).await;
+    let advance = advance.map_err(|NoMemory| refuse_for_memory(node, &id, &route))?;
     let mut body_memory = BodyMemory::empty(&node.memory);
     let reading = read_body(
         node,
@@ -111,6 +115,7 @@
         headers: head.headers,
         body,
         _memory: body_memory,
+        advance,
         id,
         repeatable: route.repeatable,
         deadline,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -26,6 +26,7 @@
 use crate::body::read_body;
 use crate::fingerprint::Fingerprint;
 use crate::links::SILENCE_TIMEOUT;
+use crate::memory::Advance;
 use crate::memory::BodyMemory;
 use crate::metrics::Counter;
 use crate::named_limit::record_named_limit;
@@ -55,6 +56,8 @@
     pub(crate) body: Bytes,
     /// Memory reserved for the body.
     pub(crate) _memory: BodyMemory,
+    /// Memory reserved in advance for large replies.
+    pub(crate) advance: Option<Advance>,
     /// Value of the caller's request id header.
     pub(crate) id: HeaderValue,
     /// What the request has in common with the caller's other tries of it.
@@ -159,6 +162,7 @@
             Failure::Refused => AttemptOutcome::Refused,
             Failure::Retired(_) => AttemptOutcome::Rejected,
             Failure::Unreachable | Failure::Broken | Failure::Lost => AttemptOutcome::Failed,
+            Failure::Dropped => AttemptOutcome::Cancelled,
         },
     });
     result
@@ -204,6 +208,17 @@
     log::info!(id, fingerprint:% = fingerprint, server, skipped; "servers: a connection ended during a request");
 }
 
+/// Counts and logs a reply that was dropped for lack of memory.
+fn report_dropped(node: &Node, outgoing: &OutgoingRequest) {
+    let mut state = node.state.borrow_mut();
+    state.metrics.count(Counter::ReplyNoMemory);
+    if let Some(skipped) = state.allow_log_line("reply without memory") {
+        let id = outgoing.id.to_str().unwrap_or("?");
+        let (path, held) = (outgoing.uri.path(), node.memory.held());
+        log::warn!(id, path, held, skipped; "request: dropped a reply for lack of memory");
+    }
+}
+
 async fn exchange(
     node: &Rc<Node>,
     outgoing: &OutgoingRequest,
@@ -245,14 +260,17 @@
         }
     };
     let (head, body) = response.into_parts();
-    let mut memory = BodyMemory::empty(&node.memory);
+    let mut memory = BodyMemory::with_advance(&node.memory, outgoing.advance.clone());
     let body = match read_body(node, body, MAX_REPLY_BYTES, &mut memory).await {
         Ok(body) => body,
         Err(BodyError::Broken) => {
             return fail(Failure::Broken, "the connection closed within the reply");
         }
         Err(BodyError::TooLarge) => return fail(Failure::Lost, "the reply is too large"),
-        Err(BodyError::NoMemory) => return fail(Failure::Lost, "no memory left for the reply"),
+        Err(BodyError::NoMemory) => {
+            report_dropped(node, outgoing);
+            return fail(Failure::Dropped, "no memory left for the reply");
+        }
     };
     if let Some(id) = head.headers.get(&node.headers.request_id)
         && *id != outgoing.id
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -54,6 +54,6 @@
         bytes.extend_from_slice(&data);
     }
     bytes.shrink_to_fit();
-    memory.shrink_to(bytes.len() as u64);
+    memory.complete(bytes.len() as u64);
     Ok(Bytes::from(bytes))
 }
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -35,6 +35,16 @@
         self.budget.borrow().is_crowded(purpose)
     }
 
+    /// Returns whether so much memory fits when nothing else is held for the use.
+    pub(crate) fn may_fit(&self, purpose: MemoryUse, bytes: u64) -> bool {
+        self.budget.borrow().part_of(purpose) >= bytes
+    }
+
+    /// Returns the bytes that are held for a use.
+    pub(crate) fn held_for(&self, purpose: MemoryUse) -> u64 {
+        self.budget.borrow().held_for(purpose)
+    }
+
     /// Waits until memory is returned.
     pub(crate) async fn wait_released(&self) {
         self.released.notified().await;
@@ -97,6 +107,14 @@
         self.bytes
     }
 
+    /// Moves as much as there is, `bytes` at most, to another reservation for the same use.
+    fn move_to(&mut self, other: &mut Reserved, bytes: u64) -> u64 {
+        let moved = bytes.min(self.bytes);
+        self.bytes -= moved;
+        other.bytes += moved;
+        moved
+    }
+
     /// Returns some bytes to the budget.
     fn shrink(&mut self, bytes: u64) {
         let bytes = bytes.min(self.bytes);
@@ -119,19 +137,30 @@
     }
 }
 
+/// Memory for large bodies, which is reserved before they are known to come.
+pub(crate) type Advance = Rc<RefCell<Reserved>>;
+
 /// Memory reserved for the bytes of a body, as many as are allocated for it.
 #[derive(Debug)]
 pub(crate) struct BodyMemory {
     beginning: Reserved,
     rest: Reserved,
+    /// What the rest is taken from first, until the body is complete.
+    advance: Option<Advance>,
 }
 
 impl BodyMemory {
     /// Creates an empty reservation, which grows as a body is read.
     pub(crate) fn empty(memory: &Rc<Memory>) -> BodyMemory {
+        BodyMemory::with_advance(memory, None)
+    }
+
+    /// Creates an empty reservation that uses up the advance before it grows.
+    pub(crate) fn with_advance(memory: &Rc<Memory>, advance: Option<Advance>) -> BodyMemory {
         BodyMemory {
             beginning: Reserved::empty(memory, MemoryUse::Request),
             rest: Reserved::empty(memory, MemoryUse::LargeBody),
+            advance,
         }
     }
 
@@ -145,16 +174,35 @@
         let small = SMALL_BODY_BYTES
             .saturating_sub(self.beginning.bytes)
             .min(bytes);
-        if !self.rest.grow(bytes - small) {
+        let large = bytes - small;
+        let moved = self.take_advance(large);
+        if !self.rest.grow(large - moved) {
             return false;
         }
         let fits = self.beginning.grow(small);
         if !fits {
-            self.rest.shrink(bytes - small);
+            self.rest.shrink(large);
         }
         fits
     }
 
+    fn take_advance(&mut self, bytes: u64) -> u64 {
+        let rest = &mut self.rest;
+        let advance = self.advance.as_ref();
+        advance.map_or(0, |advance| advance.borrow_mut().move_to(rest, bytes))
+    }
+
+    /// Returns the bytes beyond the beginning.
+    pub(crate) fn large_bytes(&self) -> u64 {
+        self.rest.bytes
+    }
+
+    /// Ends the growth: returns all but `bytes` to the budget, and gives up the advance.
+    pub(crate) fn complete(&mut self, bytes: u64) {
+        self.advance = None;
+        self.shrink_to(bytes);
+    }
+
     /// Returns all but `bytes` to the budget.
     pub(crate) fn shrink_to(&mut self, bytes: u64) {
         let excess = self.bytes().saturating_sub(bytes);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     BlockFound = "requests_found_to_crash_servers",
     RequestAbandoned = "requests_left_by_caller",
     RequestNoMemory = "requests_without_memory",
+    ReplyNoMemory = "replies_without_memory",
     ConnectionRefused = "connections_refused",
     ConnectionClosed = "connections_closed_for_room",
     AttemptPrimary = "attempts_primary",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -63,6 +63,12 @@
 /// Holders of one shard in a zone that share the limit: the first one, and the one that replaces it.
 const SENDERS_PER_ZONE: u32 = 2;
 
+/// Replies over which their mean size is taken.
+const REPLY_WINDOW: u64 = 8;
+
+/// Divisor of the mean size of replies that gives the margin for larger ones.
+const REPLY_MARGIN_DIVISOR: u64 = 4;
+
 /// Percentage of the process's memory that callers and servers may make it hold; the rest is for code, tables, what the
 /// store and other gateways send, and fragmentation.
 const BUDGET_PERCENT: u64 = 60;
@@ -80,6 +86,8 @@
     pub(crate) next_attempt: AttemptId,
     /// Latencies of servers in the same zone on each route.
     pub(crate) latencies: HashMap<RouteName, LatencyHistogram>,
+    /// Mean bytes of the replies on each route beyond the beginning that every reply may have, where there are any.
+    pub(crate) large_replies: HashMap<RouteName, u64>,
     /// Longest time left that callers have given on each route.
     pub(crate) max_timeouts: HashMap<RouteName, Duration>,
     pub(crate) has_servers: bool,
@@ -162,6 +170,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             next_attempt: 0,
             latencies: HashMap::new(),
+            large_replies: HashMap::new(),
             max_timeouts: HashMap::new(),
             has_servers: false,
             settled_at: None,
@@ -308,6 +317,7 @@
         let names: Vec<RouteName> = table.route_names().cloned().collect();
         self.latencies.retain(|name, _| names.contains(name));
         self.max_timeouts.retain(|name, _| names.contains(name));
+        self.large_replies.retain(|name, _| names.contains(name));
         self.metrics.retain_routes(|name| names.contains(name));
         self.limits
             .retain_services(|service| table.services.contains_key(service));
@@ -316,6 +326,26 @@
         self.update_quota_shares();
     }
 
+    /// Records how much of a reply is beyond the beginning that every reply may have.
+    pub(crate) fn record_reply_size(&mut self, route: &Route, large_bytes: u64) {
+        if large_bytes == 0 && !self.large_replies.contains_key(&route.name) {
+            return;
+        }
+        let mean = self.large_replies.entry(route.name.clone()).or_default();
+        *mean = (*mean * (REPLY_WINDOW - 1) + large_bytes) / REPLY_WINDOW;
+        if *mean == 0 {
+            self.large_replies.remove(&route.name);
+        }
+    }
+
+    /// Returns the memory for large replies that a request is expected to need.
+    pub(crate) fn expect_replies(&self, route: &Route) -> u64 {
+        let mean = self.large_replies.get(&route.name).copied();
+        mean.map_or(0, |mean| {
+            (mean + mean / REPLY_MARGIN_DIVISOR) * route.target.fan_out()
+        })
+    }
+
     pub(crate) fn record_latency(&mut self, route: &Route, latency: Duration) {
         self.latencies
             .entry(route.name.clone())
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -49,6 +49,7 @@
 use crate::forward::refuse_cut;
 use crate::holder_client::delegate;
 use crate::holders::Assignment;
+use crate::memory::BodyMemory;
 use crate::memory::Reserved;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -520,6 +521,11 @@
                     let mut state = self.node.state.borrow_mut();
                     state.record_latency(&self.route, sent.elapsed());
                 }
+                let memory = reply.memory.as_ref();
+                let large = memory.map_or(0, BodyMemory::large_bytes);
+                let mut state = self.node.state.borrow_mut();
+                state.record_reply_size(&self.route, large);
+                drop(state);
                 self.replies.insert(id, reply);
                 GatherEvent::Replied(id)
             }
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -1,9 +1,15 @@
 //! Makes room in memory, at the expense of clients that don't read their answers or don't send their bodies.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use limit::MemoryUse;
+
+use crate::Route;
 use crate::accept::report_closed;
+use crate::memory::Advance;
 use crate::memory::BodyMemory;
 use crate::memory::Reserved;
 use crate::node::Node;
@@ -28,11 +34,46 @@
     }
 }
 
+/// There is no memory, also after a wait.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct NoMemory;
+
+/// Reserves memory for the replies that a request is expected to bring, since a server that has run it can't take that
+/// back. Returns none if the route has small replies, or if nothing else is held, so that the request may be tried.
+pub(crate) async fn reserve_replies(
+    node: &Node,
+    route: &Route,
+) -> Result<Option<Advance>, NoMemory> {
+    let expected = node.state.borrow().expect_replies(route);
+    if expected == 0 {
+        return Ok(None);
+    }
+    let mut advance = Reserved::empty(&node.memory, MemoryUse::LargeBody);
+    let end = Instant::now() + REQUEST_WAIT;
+    loop {
+        if advance.grow(expected) {
+            return Ok(Some(Rc::new(RefCell::new(advance))));
+        }
+        if node.memory.held_for(MemoryUse::LargeBody) == 0 {
+            return Ok(None);
+        }
+        if !wait_for_room(node, end).await {
+            return Err(NoMemory);
+        }
+    }
+}
+
 /// Adds to the reservation of a body, and waits a little if there is no memory; returns false if there is none then.
 pub(crate) async fn grow_body(node: &Node, memory: &mut BodyMemory, bytes: u64) -> bool {
     if memory.grow(bytes) {
         return true;
     }
+    if !node
+        .memory
+        .may_fit(MemoryUse::LargeBody, memory.large_bytes() + bytes)
+    {
+        return false;
+    }
     let end = Instant::now() + BODY_WAIT;
     while wait_for_room(node, end).await {
         if memory.grow(bytes) {
--- a/crates/lab/src/scenario/exchange.rs
+++ b/crates/lab/src/scenario/exchange.rs
@@ -429,7 +429,11 @@
                 let evidence = match failure {
                     Failure::Unreachable => Some(member::Evidence::ConnectFailed),
                     Failure::Refused => Some(member::Evidence::ConnectRefused),
-                    Failure::NotRun | Failure::Retired(_) | Failure::Broken | Failure::Lost => None,
+                    Failure::NotRun
+                    | Failure::Retired(_)
+                    | Failure::Broken
+                    | Failure::Lost
+                    | Failure::Dropped => None,
                 };
                 if let Some(evidence) = evidence {
                     node.view.observe(&upstream, evidence, now);
--- a/crates/limit/src/memory.rs
+++ b/crates/limit/src/memory.rs
@@ -103,7 +103,8 @@
         self.held[purpose as usize]
     }
 
-    fn part_of(&self, purpose: MemoryUse) -> u64 {
+    /// Returns the most that may be held for a use.
+    pub fn part_of(&self, purpose: MemoryUse) -> u64 {
         let part = u128::from(self.limit) * u128::from(purpose.part()) / u128::from(PART_DIVISOR);
         // A part is at most the limit.
         part as u64
--- a/crates/query/src/attempt.rs
+++ b/crates/query/src/attempt.rs
@@ -76,8 +76,11 @@
     /// The connection ended after the request was sent and before the reply was complete, as when the upstream crashes;
     /// the request may have run.
     Broken,
-    /// The reply was invalid or was dropped here; the request may have run.
+    /// The reply was invalid; the request may have run.
     Lost,
+    /// The reply was dropped because this process has no memory for it. The upstream has run the request and is not at
+    /// fault, and a repeat would be dropped as well.
+    Dropped,
 }
 
 impl Failure {
@@ -85,7 +88,7 @@
     pub fn proves_not_run(&self) -> bool {
         match self {
             Failure::NotRun | Failure::Refused | Failure::Unreachable | Failure::Retired(_) => true,
-            Failure::Broken | Failure::Lost => false,
+            Failure::Broken | Failure::Lost | Failure::Dropped => false,
         }
     }
 }
--- a/crates/query/src/gather.rs
+++ b/crates/query/src/gather.rs
@@ -456,9 +456,14 @@
         if failure.proves_not_run() {
             state.runs -= 1;
         }
-        if state.progress == Progress::Open && state.outstanding.is_empty() {
-            self.send(index, AttemptKind::Retry, now, env, actions);
+        if state.progress != Progress::Open || !state.outstanding.is_empty() {
+            return;
+        }
+        if *failure == Failure::Dropped {
+            state.progress = Progress::Missing;
+            return;
         }
+        self.send(index, AttemptKind::Retry, now, env, actions);
     }
 
     fn run_timers(
--- a/crates/query/src/machine.rs
+++ b/crates/query/src/machine.rs
@@ -257,6 +257,7 @@
             Failure::Unreachable => (AttemptOutcome::Failed, MissingReason::NoReplica),
             Failure::Retired(_) => (AttemptOutcome::Rejected, MissingReason::Retired),
             Failure::Broken | Failure::Lost => (AttemptOutcome::Failed, MissingReason::Lost),
+            Failure::Dropped => (AttemptOutcome::Cancelled, MissingReason::Lost),
         };
         env.limits.release(permit, outcome, now);
         self.remove_outstanding(shard, id);
