gateway: a reply without a valid status is no answer, and no crash of its server

A caller got a server's status 101, 600, 700 or 999 as an answer. Where servers answered one path with 000 for some seconds, equal requests were refused with 502 for 40 s after the servers were sound again.

Cause: any status that the HTTP library takes was forwarded, 101 and three digits from 600 on among them. Bytes that it doesn't take were Failure::Broken, like a connection that ends during a request, which is evidence of a request that crashes servers; a chunk without a length was so too.

Change: a final status is 200 to 599; anything else ends the attempt as Failure::Lost and closes the connection, before its body is read. The same holds for what another gateway passes on. Bytes that are no HTTP, in a head or a body, are Failure::Lost: a server that sends something has not crashed, though it may have run the request. What other builds tell of blocked requests is taken as before.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -145,6 +145,7 @@
     match error {
         BodyError::TooLarge => reply_error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
         BodyError::Broken => reply_error(StatusCode::BAD_REQUEST, "the body broke off"),
+        BodyError::Invalid => reply_error(StatusCode::BAD_REQUEST, "the body is not valid"),
         BodyError::NoMemory => refuse("no memory is left"),
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -255,10 +255,17 @@
                     Failure::Unreachable,
                     "the connection closed before the request was sent",
                 ),
+                // A server that sends something has not crashed.
+                None if error.error().is_parse() => {
+                    fail(Failure::Lost, "the reply is not valid HTTP")
+                }
                 None => fail(Failure::Broken, "the connection closed before the reply"),
             };
         }
     };
+    if !is_final(response.status()) {
+        return fail(Failure::Lost, "the reply has no valid status");
+    }
     let (head, body) = response.into_parts();
     let mut memory = BodyMemory::with_advance(&node.memory, outgoing.advance.clone());
     let body = match read_body(node, body, MAX_REPLY_BYTES, &mut memory).await {
@@ -266,6 +273,7 @@
         Err(BodyError::Broken) => {
             return fail(Failure::Broken, "the connection closed within the reply");
         }
+        Err(BodyError::Invalid) => return fail(Failure::Lost, "the reply is not valid HTTP"),
         Err(BodyError::TooLarge) => return fail(Failure::Lost, "the reply is too large"),
         Err(BodyError::NoMemory) => {
             report_dropped(node, outgoing);
@@ -389,6 +397,11 @@
     }
 }
 
+/// Returns whether a status may stand in an answer; others end no request, or are in no class of HTTP.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Classifies a response: a reply, proof that the request did not run, or a failure after which it may have run.
 fn classify_reply(
     status: StatusCode,
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,5 +1,8 @@
 //! Reads bodies within the memory budget of the process.
 
+use std::error::Error;
+use std::io::ErrorKind;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -16,6 +19,8 @@
     TooLarge,
     /// The connection failed before the end of the body.
     Broken,
+    /// The body is not valid HTTP.
+    Invalid,
     /// The memory budget is exhausted.
     NoMemory,
 }
@@ -35,7 +40,8 @@
     let largest = hint.exact().map_or(max_bytes, |length| length as usize);
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else {
+        let frame = frame.map_err(|error| classify_error(&error))?;
+        let Ok(data) = frame.into_data() else {
             continue;
         };
         let length = bytes.len() + data.len();
@@ -57,3 +63,13 @@
     memory.complete(bytes.len() as u64);
     Ok(Bytes::from(bytes))
 }
+
+/// Tells bytes that are no body from a connection that has ended.
+fn classify_error(error: &hyper::Error) -> BodyError {
+    let source = error.source();
+    let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    match source.map(std::io::Error::kind) {
+        Some(ErrorKind::InvalidData | ErrorKind::InvalidInput) => BodyError::Invalid,
+        _ => BodyError::Broken,
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,6 +22,7 @@
 use crate::answer::reply_error;
 use crate::attempt::MAX_REPLY_BYTES;
 use crate::attempt::OutgoingRequest;
+use crate::attempt::is_final;
 use crate::attempt::remove_hop_headers;
 use crate::body::read_body;
 use crate::door::Slot;
@@ -172,6 +173,9 @@
             });
         }
     };
+    if !is_final(response.status()) {
+        return Err(HelperError::Lost);
+    }
     let (mut head, body) = response.into_parts();
     let mut memory = BodyMemory::empty(&node.memory);
     let body = read_body(node, body, MAX_REPLY_BYTES, &mut memory)
