gateway: a body of which nothing comes takes no connection from others

A crowd that announces bodies and sends nothing of them shut out ordinary callers until its requests' deadlines, again and again: no answer in 60 s.

Cause: a connection whose request waits for its body could be closed for a newcomer only if some of the body had come.

Change: such a connection may be closed from 2 s on, whatever has come; nothing of its request has run. Besides, all addresses ask clients to close their connections when three quarters are open, not only that of callers; 64 connections for readiness checks and 32 for metrics, so that many load balancers keep theirs; and the metrics page shows the memory that is held and the open connections.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -11,8 +11,10 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header::CONNECTION;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -123,7 +125,11 @@
                 std::future::pending::<()>().await;
             }
             slot.begin(Phase::Busy);
-            let response = answering.await;
+            let mut response = answering.await;
+            if slot.is_crowded() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             slot.begin(Phase::Answer);
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, &slot)))
         }
--- a/crates/gateway/src/door.rs
+++ b/crates/gateway/src/door.rs
@@ -30,7 +30,7 @@
 
 /// Connections that may be open at an address even if the memory for connections is used up, so that the load balancer and
 /// the operator are served, and a few callers get an answer.
-pub(crate) const MIN_CONNECTIONS: usize = 16;
+const MIN_CONNECTIONS: usize = 16;
 
 /// Part of a head for which [`CONNECTION_BYTES`] are enough.
 const SMALL_HEAD_BYTES: u64 = 2 << 10;
@@ -103,7 +103,7 @@
 
     /// Returns whether clients should be asked to close their connections, because there are nearly as many as the
     /// descriptors or the memory allow.
-    pub(crate) fn is_crowded(&self) -> bool {
+    fn is_crowded(&self) -> bool {
         let is_full = self.len() * 100 >= self.limit.get() * CROWDED_PERCENT;
         is_full || self.memory.is_crowded(self.purpose)
     }
@@ -198,6 +198,11 @@
         self.closed.notified().await;
     }
 
+    /// Returns whether the client should be asked to close its connection.
+    pub(crate) fn is_crowded(&self) -> bool {
+        self.door.is_crowded()
+    }
+
     /// Returns whether the connection was not closed by its door.
     pub(crate) fn is_open(&self) -> bool {
         let connections = self.door.connections.borrow();
--- a/crates/gateway/src/doors.rs
+++ b/crates/gateway/src/doors.rs
@@ -7,12 +7,17 @@
 use crate::Settings;
 use crate::door::ClosedConnection;
 use crate::door::Door;
-use crate::door::MIN_CONNECTIONS;
 use crate::memory::Memory;
 
 /// File descriptors reserved for the store, relays, listening sockets, readiness checks and metrics.
 const RESERVED_FDS: u32 = 200;
 
+/// Connections of load balancers.
+const READY_CONNECTIONS: usize = 64;
+
+/// Connections of those who read the metrics.
+const METRICS_CONNECTIONS: usize = 32;
+
 /// Percentage of the unreserved descriptors for connections of callers, and as many for those to servers and to gateways
 /// that serve requests for this one; the rest is for connections of other gateways.
 const SIDE_PERCENT: u32 = 40;
@@ -35,8 +40,8 @@
             ready: Door::new("ready", MemoryUse::Upstream, memory),
             metrics: Door::new("metrics", MemoryUse::Upstream, memory),
         };
-        doors.ready.set_limit(MIN_CONNECTIONS);
-        doors.metrics.set_limit(MIN_CONNECTIONS);
+        doors.ready.set_limit(READY_CONNECTIONS);
+        doors.metrics.set_limit(METRICS_CONNECTIONS);
         doors.set_limits(settings);
         doors
     }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -6,11 +6,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header::CONNECTION;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
@@ -57,19 +55,10 @@
     accept_connections(&node, &door, listener, |slot, stream| {
         let limits = caller_limits(&node);
         let node = Rc::clone(&node);
-        let door = Rc::clone(&door);
         let closing = Some(closing.clone());
         let answer = move |request: Request<Incoming>, slot: Rc<Slot>| {
             let node = Rc::clone(&node);
-            let door = Rc::clone(&door);
-            async move {
-                let mut answer = handle_request(node, request, Origin::Caller, &slot).await;
-                if door.is_crowded() {
-                    let close = HeaderValue::from_static("close");
-                    answer.headers_mut().insert(CONNECTION, close);
-                }
-                answer
-            }
+            async move { handle_request(node, request, Origin::Caller, &slot).await }
         };
         tokio::task::spawn_local(serve_connection(slot, stream, limits, closing, answer));
     })
@@ -122,12 +111,26 @@
     .await;
 }
 
+/// Returns what the process holds at the moment.
+fn read_gauges(node: &Node) -> [(&'static str, u64); 4] {
+    [
+        ("memory_held_bytes", node.memory.held()),
+        ("caller_connections", node.doors.callers.len() as u64),
+        ("peer_connections", node.doors.peers.len() as u64),
+        (
+            "upstream_connections",
+            node.upstream_connections.get() as u64,
+        ),
+    ]
+}
+
 /// Serves the metrics of this process.
 pub(crate) async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
     let door = Rc::clone(&node.doors.metrics);
     let answering = Rc::clone(&node);
     serve_connections(node, door, listener, CHECK_LIMITS, move |_, _| {
-        let page = answering.state.borrow().metrics.render();
+        let gauges = read_gauges(&answering);
+        let page = answering.state.borrow().metrics.render(&gauges);
         ready(Response::new(Full::new(Bytes::from(page))))
     })
     .await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -112,11 +112,14 @@
         self.latencies.retain(|route, _| keep(route));
     }
 
-    /// Renders the metrics page.
-    pub(crate) fn render(&self) -> String {
+    /// Renders the metrics page, with the gauges that are passed.
+    pub(crate) fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut page = String::new();
         // Writing to a string can't fail.
         let _ = self.write_to(&mut page);
+        for (name, value) in gauges {
+            let _ = writeln!(page, "limpetwick_{name} {value}");
+        }
         page
     }
 
--- a/crates/limit/src/connections.rs
+++ b/crates/limit/src/connections.rs
@@ -73,9 +73,14 @@
 
     /// Returns how much the connection holds for how long, if it may be closed for that.
     fn weight(&self, now: Duration) -> Option<u128> {
-        let holds = matches!(self.phase, Phase::Body | Phase::Answer) && self.held > 0;
+        let holds = match self.phase {
+            // Also one of whose body nothing has come takes the place of another.
+            Phase::Body => true,
+            Phase::Answer => self.held > 0,
+            Phase::Idle | Phase::Head | Phase::Busy => false,
+        };
         let age = self.age(now);
-        (holds && age >= GRACE_TIME).then_some(u128::from(self.held) * age.as_millis())
+        (holds && age >= GRACE_TIME).then_some((u128::from(self.held) + 1) * age.as_millis())
     }
 
     /// Returns in which order connections are closed to make room for another one; the least goes first.
--- a/crates/limit/tests/connections.rs
+++ b/crates/limit/tests/connections.rs
@@ -119,6 +119,7 @@
     one_idle_for_long: Conduct::Idle, after 0 s; Conduct::Busy, after 9 s => Some("first");
     none_idle_for_a_short_time: Conduct::Idle, after 0 s; Conduct::Idle, after 8 s => None;
     none_in_use: Conduct::Busy, after 0 s; Conduct::Busy, after 60 s => None;
+    a_body_of_which_nothing_comes: Conduct::Busy, after 0 s; Conduct::Body(0), after 1 s => Some("second");
     a_body_that_stays: Conduct::Busy, after 0 s; Conduct::Body(100), after 1 s => Some("second");
 }
 
