gateway: listeners, in the usual terms; a slow head has a counter and a log line of its own

What an address of the process knows of its connections was named after a door. It is a Listener now, and the module that waits for memory is reserve. A connection that is closed because of its head was counted and logged as closed to make room, so that on call one could not tell a timeout from a full table: heads_timed_out, and its own line.

Behaviour is otherwise the same: tests of ingress, memory, status and the slow heads of crowds pass.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -29,11 +29,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use crate::door::ClosedConnection;
-use crate::door::Door;
-use crate::door::NoRoom;
-use crate::door::Slot;
-use crate::door::TrackedBody;
+use crate::listener::ClosedConnection;
+use crate::listener::Exhausted;
+use crate::listener::Listener;
+use crate::listener::Slot;
+use crate::listener::TrackedBody;
 use crate::metrics::Counter;
 use crate::node::Node;
 
@@ -52,20 +52,20 @@
     pub(crate) max_head_bytes: usize,
 }
 
-/// Accepts connections until the process ends, as far as there is room at the door, and passes each to `serve`.
+/// Accepts connections until the process ends, as far as the limits allow, and passes each to `serve`.
 pub(crate) async fn accept_connections(
     node: &Node,
-    door: &Rc<Door>,
-    listener: TcpListener,
+    listener: &Rc<Listener>,
+    socket: TcpListener,
     serve: impl Fn(Rc<Slot>, TcpStream),
 ) {
     loop {
-        match listener.accept().await {
+        match socket.accept().await {
             Ok((stream, addr)) => {
-                let entered = door.enter(addr, |closed| report_closed(node, door, &closed));
+                let entered = listener.enter(addr, |closed| report_closed(node, listener, &closed));
                 match entered {
                     Ok(slot) => serve(slot, stream),
-                    Err(lack) => report_refused(node, door, addr, lack),
+                    Err(lack) => report_refused(node, listener, addr, lack),
                 }
             }
             Err(error) => {
@@ -78,27 +78,38 @@
 
 /// Counts and logs a connection that is closed before anything is read, which proves to the client that its request did
 /// not run.
-fn report_refused(node: &Node, door: &Door, addr: SocketAddr, lack: NoRoom) {
+fn report_refused(node: &Node, listener: &Listener, addr: SocketAddr, lack: Exhausted) {
     let mut state = node.state.borrow_mut();
     state.metrics.count(Counter::ConnectionRefused);
     if let Some(skipped) = state.allow_log_line("refused connection") {
-        let (door, open) = (door.name, door.len());
-        log::warn!(door, addr:% = addr, open, lack:? = lack, skipped; "accept: refused a connection; there is no room for it");
+        let (listener, open) = (listener.name, listener.len());
+        log::warn!(listener, addr:% = addr, open, lack:? = lack, skipped; "accept: refused a connection; too many are open");
+    }
+}
+
+/// Counts and logs a connection that was closed because the head of its request took too long.
+pub(crate) fn report_slow_head(node: &Node, listener: &Listener, closed: &ClosedConnection) {
+    let mut state = node.state.borrow_mut();
+    state.metrics.count(Counter::HeadTimedOut);
+    if let Some(skipped) = state.allow_log_line("slow head") {
+        let (listener, addr) = (listener.name, closed.handle.addr);
+        let ms = closed.age.as_millis() as u64;
+        log::info!(listener, addr:% = addr, ms, skipped; "accept: closed a connection; the head of its request is incomplete");
     }
 }
 
 /// Counts and logs a connection that was closed to make room.
-pub(crate) fn report_closed(node: &Node, door: &Door, closed: &ClosedConnection) {
+pub(crate) fn report_closed(node: &Node, listener: &Listener, closed: &ClosedConnection) {
     let mut state = node.state.borrow_mut();
     state.metrics.count(Counter::ConnectionClosed);
     if let Some(skipped) = state.allow_log_line("closed connection") {
-        let (door, addr, phase) = (door.name, closed.handle.addr, closed.phase);
+        let (listener, addr, phase) = (listener.name, closed.handle.addr, closed.phase);
         let (held, ms) = (closed.held, closed.age.as_millis() as u64);
-        log::warn!(door, addr:% = addr, phase:? = phase, held, ms, skipped; "accept: closed a connection to make room");
+        log::warn!(listener, addr:% = addr, phase:? = phase, held, ms, skipped; "accept: closed a connection to make room");
     }
 }
 
-/// Serves a connection until its client or the door closes it; once `closing` is true, it is closed after the request in
+/// Serves a connection until its client or the listener closes it; once `closing` is true, it is closed after the request in
 /// progress.
 pub(crate) async fn serve_connection<F, B>(
     slot: Rc<Slot>,
@@ -121,7 +132,7 @@
         async move {
             slot.wait_sent().await;
             if !slot.is_open() {
-                // The door has told the client that nothing of this request has run.
+                // The client takes a connection that closes before its head was read for proof that nothing has run.
                 std::future::pending::<()>().await;
             }
             slot.begin(Phase::Busy);
@@ -172,8 +183,8 @@
 /// Accepts connections until the process ends, and answers their requests with `answer`.
 pub(crate) async fn serve_connections<F, B>(
     node: Rc<Node>,
-    door: Rc<Door>,
-    listener: TcpListener,
+    listener: Rc<Listener>,
+    socket: TcpListener,
     limits: ConnectionLimits,
     answer: impl Fn(Request<Incoming>, Rc<Slot>) -> F + Clone + 'static,
 ) where
@@ -181,14 +192,14 @@
     B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    accept_connections(&node, &door, listener, |slot, stream| {
+    accept_connections(&node, &listener, socket, |slot, stream| {
         let serving = serve_connection(slot, stream, limits, None, answer.clone());
         tokio::task::spawn_local(serving);
     })
     .await;
 }
 
-/// A connection that tells its door what comes and what is sent.
+/// A connection that tells its listener what comes and what is sent.
 struct TrackedStream {
     stream: TcpStream,
     slot: Rc<Slot>,
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -21,15 +21,15 @@
 use crate::attempt::remove_hop_headers;
 use crate::body::BodyError;
 use crate::body::read_body;
-use crate::door::Slot;
 use crate::fingerprint::Fingerprint;
+use crate::listener::Slot;
 use crate::memory::BodyMemory;
 use crate::memory::Reserved;
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::room::NoMemory;
-use crate::room::admit_request;
-use crate::room::reserve_replies;
+use crate::reserve::NoMemory;
+use crate::reserve::admit_request;
+use crate::reserve::reserve_replies;
 
 /// Time before the latency objective at which a partial answer is sent, so that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -10,7 +10,7 @@
 
 use crate::memory::BodyMemory;
 use crate::node::Node;
-use crate::room::grow_body;
+use crate::reserve::grow_body;
 
 /// Why a body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -25,7 +25,7 @@
 use crate::attempt::is_final;
 use crate::attempt::remove_hop_headers;
 use crate::body::read_body;
-use crate::door::Slot;
+use crate::listener::Slot;
 use crate::memory::BodyMemory;
 use crate::metrics::Counter;
 use crate::node::CountGuard;
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -16,10 +16,10 @@
 
 use crate::accept::ConnectionLimits;
 use crate::accept::accept_connections;
-use crate::accept::report_closed;
+use crate::accept::report_slow_head;
 use crate::accept::serve_connection;
 use crate::accept::serve_connections;
-use crate::door::Slot;
+use crate::listener::Slot;
 use crate::node::Node;
 use crate::request::Origin;
 use crate::request::handle_request;
@@ -48,11 +48,11 @@
 /// Serves callers until the process ends; once `closing` is true, idle connections are closed.
 pub(crate) async fn serve_callers(
     node: Rc<Node>,
-    listener: TcpListener,
+    socket: TcpListener,
     closing: watch::Receiver<bool>,
 ) {
-    let door = Rc::clone(&node.doors.callers);
-    accept_connections(&node, &door, listener, |slot, stream| {
+    let listener = Rc::clone(&node.listeners.callers);
+    accept_connections(&node, &listener, socket, |slot, stream| {
         let limits = caller_limits(&node);
         let node = Rc::clone(&node);
         let closing = Some(closing.clone());
@@ -83,25 +83,25 @@
         let table = node.state.borrow().table.clone();
         let limits = table.map(|table| table.request_limits);
         let now = Instant::now();
-        for door in node.doors.all() {
-            let is_callers = Rc::ptr_eq(door, &node.doors.callers);
+        for listener in node.listeners.all() {
+            let is_callers = Rc::ptr_eq(listener, &node.listeners.callers);
             let limits = limits.filter(|_| is_callers);
             let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
             let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.head_timeout);
-            door.set_idle_time(idle_timeout * REUSE_PERCENT / 100);
-            door.advance(now);
-            for closed in door.close_slow_heads(head_timeout) {
-                report_closed(&node, door, &closed);
+            listener.set_idle_time(idle_timeout * REUSE_PERCENT / 100);
+            listener.advance(now);
+            for closed in listener.close_slow_heads(head_timeout) {
+                report_slow_head(&node, listener, &closed);
             }
         }
     }
 }
 
 /// Answers the load balancer's readiness checks.
-pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
-    let door = Rc::clone(&node.doors.ready);
+pub(crate) async fn serve_ready(node: Rc<Node>, socket: TcpListener) {
+    let listener = Rc::clone(&node.listeners.ready);
     let answering = Rc::clone(&node);
-    serve_connections(node, door, listener, CHECK_LIMITS, move |_, _| {
+    serve_connections(node, listener, socket, CHECK_LIMITS, move |_, _| {
         let mut answer = Response::new(Full::new(Bytes::new()));
         if !answering.is_ready() {
             *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -115,8 +115,8 @@
 fn read_gauges(node: &Node) -> [(&'static str, u64); 4] {
     [
         ("memory_held_bytes", node.memory.held()),
-        ("caller_connections", node.doors.callers.len() as u64),
-        ("peer_connections", node.doors.peers.len() as u64),
+        ("caller_connections", node.listeners.callers.len() as u64),
+        ("peer_connections", node.listeners.peers.len() as u64),
         (
             "upstream_connections",
             node.upstream_connections.get() as u64,
@@ -125,10 +125,10 @@
 }
 
 /// Serves the metrics of this process.
-pub(crate) async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
-    let door = Rc::clone(&node.doors.metrics);
+pub(crate) async fn serve_metrics(node: Rc<Node>, socket: TcpListener) {
+    let listener = Rc::clone(&node.listeners.metrics);
     let answering = Rc::clone(&node);
-    serve_connections(node, door, listener, CHECK_LIMITS, move |_, _| {
+    serve_connections(node, listener, socket, CHECK_LIMITS, move |_, _| {
         let gauges = read_gauges(&answering);
         let page = answering.state.borrow().metrics.render(&gauges);
         ready(Response::new(Full::new(Bytes::from(page))))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,10 +1,13 @@
 //! The gateway: forwards each HTTP request of a caller to one server, or to one server of every shard.
 //!
-//! The path of a request: `ingress` accepts the connection, `admit` finds the route in the [`RouteTable`] and reads the
+//! The path of a request: `ingress` accepts the connection (`accept`, `listener`), `admit` finds the route in the [`RouteTable`] and reads the
 //! body, `request` drives [`query::Gather`], `attempt` sends each attempt over a connection of `pool`, and `merge`
 //! merges the parts. In a large zone, `holders` names the gateways that send the attempts of queries for all others;
 //! `holder_client` asks them, and `holder` answers.
 //!
+//! What callers and servers make the process hold is charged to the budget in `memory`; when it runs out, `reserve` waits and
+//! closes the connection that holds most for longest. See docs/decisions/0012-clients.md.
+//!
 //! In the background, `sync` reads the configuration and the servers from the platform's store or from a relay, and
 //! `apply` puts them into the [`RouteTable`] and the [`Directory`]. A relay is another gateway of the zone: `discovery`
 //! lists the gateways, [`Peers`] chooses the relay, and `relay` makes and serves the calls between them. The names and
@@ -19,8 +22,6 @@
 mod delegation;
 mod directory;
 mod discovery;
-mod door;
-mod doors;
 mod era;
 mod facts;
 mod fingerprint;
@@ -31,6 +32,8 @@
 mod holders;
 mod ingress;
 mod links;
+mod listener;
+mod listeners;
 mod logging;
 mod memory;
 mod merge;
@@ -47,7 +50,7 @@
 mod pool;
 mod relay;
 mod request;
-mod room;
+mod reserve;
 mod run;
 mod send_gate;
 mod settings;
--- a/crates/gateway/src/door.rs
+++ b/crates/gateway/src/listener.rs
@@ -44,7 +44,7 @@
 /// A connection that was closed to make room, or for being slow, as it stands in the log.
 pub(crate) type ClosedConnection = Closed<OpenConnection>;
 
-/// What a door knows of a connection.
+/// What a listener knows of a connection.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
     pub(crate) addr: SocketAddr,
@@ -55,7 +55,7 @@
 
 /// Why a connection can't be opened.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum NoRoom {
+pub(crate) enum Exhausted {
     /// As many are open as the descriptors allow.
     Descriptors,
     /// The memory for connections is used up.
@@ -64,7 +64,7 @@
 
 /// An address of the process and the connections to it.
 #[derive(Debug)]
-pub(crate) struct Door {
+pub(crate) struct Listener {
     pub(crate) name: &'static str,
     connections: RefCell<Connections<OpenConnection>>,
     limit: Cell<usize>,
@@ -74,9 +74,9 @@
     memory: Rc<Memory>,
 }
 
-impl Door {
-    pub(crate) fn new(name: &'static str, purpose: MemoryUse, memory: &Rc<Memory>) -> Rc<Door> {
-        Rc::new(Door {
+impl Listener {
+    pub(crate) fn new(name: &'static str, purpose: MemoryUse, memory: &Rc<Memory>) -> Rc<Listener> {
+        Rc::new(Listener {
             name,
             connections: RefCell::default(),
             limit: Cell::new(0),
@@ -115,19 +115,19 @@
 
     /// Adds a connection; passes those that are closed to make room for it to `report`.
     pub(crate) fn enter(
-        self: &Rc<Door>,
+        self: &Rc<Listener>,
         addr: SocketAddr,
         mut report: impl FnMut(ClosedConnection),
-    ) -> Result<Rc<Slot>, NoRoom> {
+    ) -> Result<Rc<Slot>, Exhausted> {
         let mut memory = Reserved::empty(&self.memory, self.purpose);
         loop {
             let open = self.len();
             let lack = match open < self.limit.get() {
-                false => NoRoom::Descriptors,
+                false => Exhausted::Descriptors,
                 true if memory.grow(CONNECTION_BYTES) || open < MIN_CONNECTIONS => break,
-                true => NoRoom::Memory,
+                true => Exhausted::Memory,
             };
-            let closed = self.close_for_newcomer().ok_or(lack)?;
+            let closed = self.close_for_new().ok_or(lack)?;
             report(closed);
         }
         let closed = Rc::new(Notify::new());
@@ -138,7 +138,7 @@
         };
         let key = self.connections.borrow_mut().open(connection);
         Ok(Rc::new(Slot {
-            door: Rc::clone(self),
+            listener: Rc::clone(self),
             key,
             closed,
             sent: Notify::new(),
@@ -147,9 +147,9 @@
         }))
     }
 
-    fn close_for_newcomer(&self) -> Option<ClosedConnection> {
+    fn close_for_new(&self) -> Option<ClosedConnection> {
         let mut connections = self.connections.borrow_mut();
-        let closed = connections.close_for_newcomer(self.idle_time.get());
+        let closed = connections.close_for_new(self.idle_time.get());
         close(closed)
     }
 
@@ -178,10 +178,10 @@
     closed.inspect(|closed| closed.handle.closed.notify_one())
 }
 
-/// The place of an open connection at a [`Door`]; dropping it gives it up.
+/// The place of an open connection at a [`Listener`]; dropping it gives it up.
 #[derive(Debug)]
 pub(crate) struct Slot {
-    door: Rc<Door>,
+    listener: Rc<Listener>,
     key: ConnectionKey,
     closed: Rc<Notify>,
     /// Wakes the next request of the connection when the answer before it is sent.
@@ -200,12 +200,12 @@
 
     /// Returns whether the client should be asked to close its connection.
     pub(crate) fn is_crowded(&self) -> bool {
-        self.door.is_crowded()
+        self.listener.is_crowded()
     }
 
-    /// Returns whether the connection was not closed by its door.
+    /// Returns whether the connection was not closed by its listener.
     pub(crate) fn is_open(&self) -> bool {
-        let connections = self.door.connections.borrow();
+        let connections = self.listener.connections.borrow();
         connections.phase(self.key).is_some()
     }
 
@@ -213,7 +213,7 @@
     pub(crate) async fn wait_sent(&self) {
         loop {
             let sent = self.sent.notified();
-            let is_sending = self.door.connections.borrow().is_sending(self.key);
+            let is_sending = self.listener.connections.borrow().is_sending(self.key);
             if !is_sending && !self.is_blocked.get() {
                 return;
             }
@@ -223,28 +223,31 @@
 
     /// Begins the next phase of a request.
     pub(crate) fn begin(&self, phase: Phase) {
-        self.door.connections.borrow_mut().begin(self.key, phase);
+        self.listener
+            .connections
+            .borrow_mut()
+            .begin(self.key, phase);
     }
 
     /// Records that the head of a request with a number of headers is complete.
     pub(crate) fn end_head(&self, headers: usize) {
         let head = self.head.take();
-        // Without memory for it, the door is crowded, so that the connection is closed after the answer.
+        // Without memory for it, the listener is crowded, so that the connection is closed after the answer.
         let _ = self.charge(head + HEADER_BYTES * headers as u64);
     }
 
     /// Records bytes that have come.
     pub(crate) fn record_read(&self, bytes: u64) {
         let phase = {
-            let mut connections = self.door.connections.borrow_mut();
+            let mut connections = self.listener.connections.borrow_mut();
             connections.record_read(self.key, bytes);
             connections.phase(self.key)
         };
         if phase == Some(Phase::Head) {
             self.head.set(self.head.get() + bytes);
             let has_memory = self.charge(self.head.get());
-            if !has_memory && self.door.len() > MIN_CONNECTIONS {
-                self.door.connections.borrow_mut().remove(self.key);
+            if !has_memory && self.listener.len() > MIN_CONNECTIONS {
+                self.listener.connections.borrow_mut().remove(self.key);
                 self.closed.notify_one();
             }
         }
@@ -252,7 +255,7 @@
 
     /// Records bytes that were sent.
     pub(crate) fn record_written(&self, bytes: u64) {
-        let mut connections = self.door.connections.borrow_mut();
+        let mut connections = self.listener.connections.borrow_mut();
         connections.record_written(self.key, bytes);
         self.set_blocked(false);
     }
@@ -267,7 +270,7 @@
     /// Charges the buffers that a head of so many bytes needs, which the connection keeps; returns whether there is memory
     /// for them.
     fn charge(&self, head: u64) -> bool {
-        let mut connections = self.door.connections.borrow_mut();
+        let mut connections = self.listener.connections.borrow_mut();
         let Some(connection) = connections.handle_mut(self.key) else {
             return true;
         };
@@ -279,7 +282,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.door.connections.borrow_mut().remove(self.key);
+        self.listener.connections.borrow_mut().remove(self.key);
     }
 }
 
@@ -291,7 +294,7 @@
 
 impl Part {
     fn new(slot: &Rc<Slot>, bytes: usize) -> Part {
-        let mut connections = slot.door.connections.borrow_mut();
+        let mut connections = slot.listener.connections.borrow_mut();
         connections.begin_part(slot.key, bytes as u64);
         Part {
             slot: Rc::clone(slot),
@@ -301,13 +304,13 @@
 
 impl Drop for Part {
     fn drop(&mut self) {
-        let mut connections = self.slot.door.connections.borrow_mut();
+        let mut connections = self.slot.listener.connections.borrow_mut();
         connections.end_part(self.slot.key);
         self.slot.sent.notify_waiters();
     }
 }
 
-/// Body of an answer that tells the door how much of it is not sent.
+/// Body of an answer that tells the listener how much of it is not sent.
 #[derive(Debug)]
 pub(crate) struct TrackedBody<B> {
     body: B,
--- a/crates/gateway/src/doors.rs
+++ b/crates/gateway/src/listeners.rs
@@ -5,8 +5,8 @@
 use limit::MemoryUse;
 
 use crate::Settings;
-use crate::door::ClosedConnection;
-use crate::door::Door;
+use crate::listener::ClosedConnection;
+use crate::listener::Listener;
 use crate::memory::Memory;
 
 /// File descriptors reserved for the store, relays, listening sockets, readiness checks and metrics.
@@ -22,28 +22,28 @@
 /// that serve requests for this one; the rest is for connections of other gateways.
 const SIDE_PERCENT: u32 = 40;
 
-/// The doors of a process.
+/// The listeners of a process.
 #[derive(Debug)]
-pub(crate) struct Doors {
-    pub(crate) callers: Rc<Door>,
+pub(crate) struct Listeners {
+    pub(crate) callers: Rc<Listener>,
     /// Both addresses for other gateways.
-    pub(crate) peers: Rc<Door>,
-    pub(crate) ready: Rc<Door>,
-    pub(crate) metrics: Rc<Door>,
+    pub(crate) peers: Rc<Listener>,
+    pub(crate) ready: Rc<Listener>,
+    pub(crate) metrics: Rc<Listener>,
 }
 
-impl Doors {
-    pub(crate) fn new(memory: &Rc<Memory>, settings: &Settings) -> Doors {
-        let doors = Doors {
-            callers: Door::new("front", MemoryUse::Caller, memory),
-            peers: Door::new("peer", MemoryUse::Upstream, memory),
-            ready: Door::new("ready", MemoryUse::Upstream, memory),
-            metrics: Door::new("metrics", MemoryUse::Upstream, memory),
+impl Listeners {
+    pub(crate) fn new(memory: &Rc<Memory>, settings: &Settings) -> Listeners {
+        let listeners = Listeners {
+            callers: Listener::new("front", MemoryUse::Caller, memory),
+            peers: Listener::new("peer", MemoryUse::Upstream, memory),
+            ready: Listener::new("ready", MemoryUse::Upstream, memory),
+            metrics: Listener::new("metrics", MemoryUse::Upstream, memory),
         };
-        doors.ready.set_limit(READY_CONNECTIONS);
-        doors.metrics.set_limit(METRICS_CONNECTIONS);
-        doors.set_limits(settings);
-        doors
+        listeners.ready.set_limit(READY_CONNECTIONS);
+        listeners.metrics.set_limit(METRICS_CONNECTIONS);
+        listeners.set_limits(settings);
+        listeners
     }
 
     /// Divides the descriptors of the settings.
@@ -54,16 +54,16 @@
         self.peers.set_limit(unreserved - 2 * sides);
     }
 
-    /// Closes the connection that holds most for longest, of callers or of other gateways; returns it and its door.
-    pub(crate) fn close_largest(&self) -> Option<(&Rc<Door>, ClosedConnection)> {
-        let doors = [&self.callers, &self.peers].into_iter();
-        let weighed = doors.filter_map(|door| Some((door.largest_weight()?, door)));
-        let (_, door) = weighed.max_by_key(|(weight, _)| *weight)?;
-        Some((door, door.close_largest()?))
+    /// Closes the connection that holds most for longest, of callers or of other gateways; returns it and its listener.
+    pub(crate) fn close_largest(&self) -> Option<(&Rc<Listener>, ClosedConnection)> {
+        let listeners = [&self.callers, &self.peers].into_iter();
+        let weighed = listeners.filter_map(|listener| Some((listener.largest_weight()?, listener)));
+        let (_, listener) = weighed.max_by_key(|(weight, _)| *weight)?;
+        Some((listener, listener.close_largest()?))
     }
 
-    /// Returns all doors.
-    pub(crate) fn all(&self) -> [&Rc<Door>; 4] {
+    /// Returns all listeners.
+    pub(crate) fn all(&self) -> [&Rc<Listener>; 4] {
         [&self.callers, &self.peers, &self.ready, &self.metrics]
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     ReplyNoMemory = "replies_without_memory",
     ConnectionRefused = "connections_refused",
     ConnectionClosed = "connections_closed_for_room",
+    HeadTimedOut = "heads_timed_out",
     AttemptPrimary = "attempts_primary",
     AttemptHedge = "attempts_hedge",
     AttemptRetry = "attempts_retry",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,13 +33,13 @@
 use crate::Settings;
 use crate::ShardSenders;
 use crate::StoreEra;
-use crate::doors::Doors;
-use crate::doors::connection_limit;
 use crate::facts::Facts;
 use crate::helpers::Helpers;
 use crate::helpers::Place;
 use crate::holder_client::HolderPool;
 use crate::links::Links;
+use crate::listeners::Listeners;
+use crate::listeners::connection_limit;
 use crate::memory::Memory;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
@@ -120,7 +120,7 @@
     /// What callers and servers make this process hold.
     pub(crate) memory: Rc<Memory>,
     /// The connections that others have opened.
-    pub(crate) doors: Doors,
+    pub(crate) listeners: Listeners,
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are refused, because they might not end within the grace period.
     pub(crate) refusing: Cell<bool>,
@@ -159,7 +159,7 @@
         );
         limits.set_repeat_rule(RepeatPool::Shared, settings.repeats);
         let memory = Memory::new(budget_bytes(&settings));
-        let doors = Doors::new(&memory, &settings);
+        let listeners = Listeners::new(&memory, &settings);
         let facts = Facts::new(settings.node.clone(), seed);
         let state = State {
             directory: Directory::new(),
@@ -189,7 +189,7 @@
         Node {
             state: RefCell::new(state),
             memory,
-            doors,
+            listeners,
             headers: platform.headers(),
             platform,
             stopping: Cell::new(false),
@@ -214,7 +214,7 @@
     /// Puts changed settings into force.
     pub(crate) fn set_settings(&self, settings: Settings) {
         self.memory.set_limit(budget_bytes(&settings));
-        self.doors.set_limits(&settings);
+        self.listeners.set_limits(&settings);
         self.state.borrow_mut().set_settings(settings);
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -168,10 +168,10 @@
 }
 
 /// Serves requests of other gateways until the process ends.
-pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
-    let door = Rc::clone(&node.doors.peers);
+pub(crate) async fn serve_peers(node: Rc<Node>, socket: TcpListener) {
+    let listener = Rc::clone(&node.listeners.peers);
     let answering = Rc::clone(&node);
-    serve_connections(node, door, listener, PEER_LIMITS, move |request, slot| {
+    serve_connections(node, listener, socket, PEER_LIMITS, move |request, slot| {
         let node = Rc::clone(&answering);
         async move {
             if request.headers().contains_key(HEADER) {
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/reserve.rs
@@ -28,7 +28,7 @@
     let end = Instant::now() + REQUEST_WAIT;
     loop {
         let admitted = Reserved::admit(&node.memory, rank, bytes);
-        if admitted.is_some() || !wait_for_room(node, end).await {
+        if admitted.is_some() || !wait_for_memory(node, end).await {
             return admitted;
         }
     }
@@ -57,7 +57,7 @@
         if node.memory.held_for(MemoryUse::LargeBody) == 0 {
             return Ok(None);
         }
-        if !wait_for_room(node, end).await {
+        if !wait_for_memory(node, end).await {
             return Err(NoMemory);
         }
     }
@@ -75,7 +75,7 @@
         return false;
     }
     let end = Instant::now() + BODY_WAIT;
-    while wait_for_room(node, end).await {
+    while wait_for_memory(node, end).await {
         if memory.grow(bytes) {
             return true;
         }
@@ -85,12 +85,12 @@
 
 /// Closes the connection that holds most for longest, and waits until memory is returned or a while has passed; returns
 /// false after `end`.
-async fn wait_for_room(node: &Node, end: Instant) -> bool {
+async fn wait_for_memory(node: &Node, end: Instant) -> bool {
     if Instant::now() >= end {
         return false;
     }
-    if let Some((door, closed)) = node.doors.close_largest() {
-        report_closed(node, door, &closed);
+    if let Some((listener, closed)) = node.listeners.close_largest() {
+        report_closed(node, listener, &closed);
     }
     let wake = end.min(Instant::now() + CHECK_INTERVAL);
     // Either way, the caller tries again.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -184,13 +184,13 @@
 async fn drain(node: &Node, close: &watch::Sender<bool>, grace: Duration) {
     let began = Instant::now();
     node.stopping.set(true);
-    log::info!(callers = node.doors.callers.len(); "gateway: stopping");
+    log::info!(callers = node.listeners.callers.len(); "gateway: stopping");
     tokio::time::sleep(NOTICE_TIME.min(grace / 2)).await;
     node.refusing.set(true);
     // Sending fails only if every receiver is gone, and with them the connections to close.
     let _ = close.send(true);
     let end = began + grace.saturating_sub(END_MARGIN);
-    let is_busy = || node.doors.callers.len() > 0 || node.delegations.get() > 0;
+    let is_busy = || node.listeners.callers.len() > 0 || node.delegations.get() > 0;
     while is_busy() && Instant::now() < end {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
@@ -198,7 +198,7 @@
         node.ending.notify_waiters();
         tokio::time::sleep(ANSWER_TIME).await;
     }
-    let (callers, delegations) = (node.doors.callers.len(), node.delegations.get());
+    let (callers, delegations) = (node.listeners.callers.len(), node.delegations.get());
     log::info!(callers, delegations; "gateway: stopped");
 }
 
--- a/crates/limit/src/connections.rs
+++ b/crates/limit/src/connections.rs
@@ -116,7 +116,7 @@
 /// The open connections of one address.
 ///
 /// A crowd that opens connections and doesn't use them, or doesn't read its answers, would shut out all other callers. So a
-/// newcomer is let in at the expense of the connection that is the least loss. See docs/decisions/0012-clients.md.
+/// new one is taken at the expense of the connection that is the least loss. See docs/decisions/0012-clients.md.
 #[derive(Debug)]
 pub struct Connections<T> {
     open: SlotMap<ConnectionKey, Connection<T>>,
@@ -249,7 +249,7 @@
 
     /// Closes one connection so that another one can be opened, or returns `None` if all are in use. Clients may reuse a
     /// connection that has been idle for less than `idle_time`.
-    pub fn close_for_newcomer(&mut self, idle_time: Duration) -> Option<Closed<T>> {
+    pub fn close_for_new(&mut self, idle_time: Duration) -> Option<Closed<T>> {
         let open = self.open.iter();
         let ranked = open.filter_map(|(key, connection)| {
             let rank = connection.rank(self.now, idle_time)?;
--- a/crates/limit/tests/connections.rs
+++ b/crates/limit/tests/connections.rs
@@ -69,8 +69,8 @@
         key
     }
 
-    fn close_for_newcomer(&mut self) -> Option<&'static str> {
-        let closed = self.connections.close_for_newcomer(IDLE_TIME)?;
+    fn close_for_new(&mut self) -> Option<&'static str> {
+        let closed = self.connections.close_for_new(IDLE_TIME)?;
         Some(closed.handle)
     }
 
@@ -104,7 +104,7 @@
                 table.add(name, *conduct);
             }
             table.wait(3);
-            assert_eq!(table.close_for_newcomer(), closed);
+            assert_eq!(table.close_for_new(), closed);
         }
     };
 }
@@ -215,7 +215,7 @@
                 7 => table.wait(amount),
                 _ => {
                     let closed = [
-                        table.connections.close_for_newcomer(IDLE_TIME),
+                        table.connections.close_for_new(IDLE_TIME),
                         table.connections.close_largest(),
                     ];
                     for closed in closed.into_iter().flatten() {
